feat(config): add the checked settings tree of the daemon

Cause: the daemon and the in-process stage need one typed set of settings. Change: Entry holds names, addresses, URLs, key texts and drain phases; Check names the flag of the first bad one.

--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,48 @@
+package config_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/config"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+)
+
+func valid() config.Entry {
+	e := config.Default()
+	e.Name, e.Region, e.Zone = "e1", "dk-east", "dk-east-1"
+	e.Platform.Values, e.Platform.List = "http://127.0.0.1:1", "http://127.0.0.1:2"
+	e.Keys = config.Keys{Bundle: "k1=AA==", Fleet: "f1=AA==", Tickets: "t1=AA=="}
+	return e
+}
+
+// Guards against settings that are accepted at start-up and fail later, and
+// against errors that do not tell which flag to correct.
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*config.Entry)
+		flag   string
+		kind   config.Kind
+	}{
+		{"no name", func(e *config.Entry) { e.Name = " " }, "--name", config.Missing},
+		{"host name", func(e *config.Entry) { e.Listen.Caller = "localhost:80" }, "--listen", config.Invalid},
+		{"no port", func(e *config.Entry) { e.Listen.Peer = "127.0.0.1" }, "--peer", config.Invalid},
+		{"scheme", func(e *config.Entry) { e.Platform.Values = "ftp://127.0.0.1" }, "--values", config.Invalid},
+		{"key text", func(e *config.Entry) { e.Keys.Bundle = "k1" }, "--bundle-keys", config.Invalid},
+		{"policy", func(e *config.Entry) { e.Policy = "best" }, "--policy", config.Invalid},
+		{"linger", func(e *config.Entry) { e.Drain.Linger = -1 }, "--linger", config.Invalid},
+		{"level", func(e *config.Entry) { e.Log.Level = "loud" }, "--log-level", config.Invalid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := valid()
+			require.NoError(t, e.Check())
+			tt.change(&e)
+			err := e.Check()
+			require.ErrorContains(t, err, tt.flag)
+			require.Equal(t, tt.kind, fault.KindOf[config.Kind](err))
+		})
+	}
+}
