--- /dev/null
+++ b/stream/stream_test.go
@@ -0,0 +1,177 @@
+package stream_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/stream"
+)
+
+func ExampleReader() {
+	var b bytes.Buffer
+	_ = stream.Write(&b, stream.Event{ID: 1, Data: stream.AppendChunk(nil, "r1", "Hello", "")})
+	_ = stream.Write(&b, stream.Event{ID: 2, Data: stream.AppendChunk(nil, "r1", "!", "stop")})
+	_ = stream.Write(&b, stream.Event{Done: true})
+	r := stream.NewReader(&b, "r1")
+	for {
+		e, err := r.Next()
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		fmt.Println(e.ID, e.Content, e.Finish, e.Done)
+	}
+	// Output:
+	// 1 Hello  false
+	// 2 ! stop false
+	// 0   true
+	// EOF
+}
+
+func chunk(id int, request ident.Request, content string) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", id, stream.AppendChunk(nil, request, content, ""))
+}
+
+const done = "data: [DONE]\n\n"
+
+func read(r *stream.Reader) (string, error) {
+	var text strings.Builder
+	for {
+		e, err := r.Next()
+		if err != nil {
+			return text.String(), err
+		}
+		text.WriteString(e.Content)
+	}
+}
+
+// Guards against a stream that is taken for complete although events are
+// missing, repeated, cut off or belong to another request.
+func TestReader(t *testing.T) {
+	for name, c := range map[string]struct {
+		in, text string
+		kind     stream.Kind
+	}{
+		"complete":           {in: chunk(1, "r", "a") + chunk(2, "r", "b") + done, text: "ab"},
+		"carriage returns":   {in: strings.ReplaceAll(chunk(1, "r", "a")+done, "\n", "\r\n"), text: "a"},
+		"comments":           {in: ": wait\n\n" + chunk(1, "r", "a") + ": wait\n" + done, text: "a"},
+		"numbered marker":    {in: chunk(1, "r", "a") + "id: 2\n" + done, text: "a"},
+		"escapes":            {in: chunk(1, "r", "\"\n\u00e9\U0001f600") + done, text: "\"\n\u00e9\U0001f600"},
+		"two data lines":     {in: "id: 1\ndata: {\"id\":\"r\",\ndata: \"choices\":[]}\n\n" + done},
+		"null content":       {in: "id: 1\ndata: {\"id\":\"r\",\"choices\":[{\"delta\":{\"content\":null}}]}\n\n" + done},
+		"crossed":            {in: chunk(1, "r", "a") + chunk(2, "other", "b") + done, text: "a", kind: stream.Crossed},
+		"hidden id":          {in: "id: 1\ndata: {\"id\":\"other\",\"id\":\"r\"}\n\n" + done, kind: stream.Malformed},
+		"id in escapes":      {in: "id: 1\ndata: {\"\\u0069d\":\"other\",\"id\":\"r\"}\n\n" + done, kind: stream.Malformed},
+		"no id":              {in: "id: 1\ndata: {\"choices\":[]}\n\n" + done, kind: stream.Malformed},
+		"first missing":      {in: chunk(2, "r", "b") + done, kind: stream.Gap},
+		"gap":                {in: chunk(1, "r", "a") + chunk(3, "r", "c") + done, text: "a", kind: stream.Gap},
+		"repeat":             {in: chunk(1, "r", "a") + chunk(1, "r", "a") + done, text: "a", kind: stream.Gap},
+		"gap before marker":  {in: chunk(1, "r", "a") + "id: 3\n" + done, text: "a", kind: stream.Gap},
+		"no number":          {in: "data: {\"id\":\"r\"}\n\n" + done, kind: stream.Malformed},
+		"empty":              {kind: stream.Truncated},
+		"no marker":          {in: chunk(1, "r", "a"), text: "a", kind: stream.Truncated},
+		"cut within event":   {in: chunk(1, "r", "a") + chunk(2, "r", "b")[:20], text: "a", kind: stream.Truncated},
+		"cut within marker":  {in: chunk(1, "r", "a") + "data: [DONE]\n", text: "a", kind: stream.Truncated},
+		"not JSON":           {in: "id: 1\ndata: {\"id\":\"r\"\n\n" + done, kind: stream.Malformed},
+		"not UTF-8":          {in: "id: 1\ndata: {\"id\":\"r\",\"x\":\"\xff\"}\n\n" + done, kind: stream.Malformed},
+		"deep":               {in: "id: 1\ndata: {\"id\":\"r\",\"x\":" + strings.Repeat("[", 99) + strings.Repeat("]", 99) + "}\n\n", kind: stream.Malformed},
+		"foreign type":       {in: "event: ping\n" + chunk(1, "r", "a") + done, kind: stream.Malformed},
+		"one long line":      {in: "data: " + strings.Repeat("x", int(stream.MaxEvent)) + "\n\n" + done, kind: stream.Large},
+		"many lines":         {in: strings.Repeat(": x\n", int(stream.MaxEvent)/4+1), kind: stream.Large},
+		"error event":        {in: chunk(1, "r", "a") + "event: error\ndata: {}\n\n" + done, text: "a", kind: stream.Aborted},
+		"marker in an error": {in: "event: error\n" + done, kind: stream.Aborted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := stream.NewReader(strings.NewReader(c.in), "r")
+			text, err := read(r)
+			require.Equal(t, c.text, text)
+			require.Equal(t, c.kind, fault.KindOf[stream.Kind](err), "%v", err)
+			require.Equal(t, c.kind == "", errors.Is(err, io.EOF) && !errors.As(err, new(*stream.Error)))
+			_, again := r.Next()
+			require.Equal(t, err, again, "an error is final")
+		})
+	}
+}
+
+// Guards against an event that is larger than the read buffer being cut.
+func TestLargeEvent(t *testing.T) {
+	long := strings.Repeat("word ", 4000)
+	text, err := read(stream.NewReader(strings.NewReader(chunk(1, "r", long)+done), "r"))
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, long, text)
+}
+
+// Guards against a resumed stream that repeats or leaves out an event.
+func TestResume(t *testing.T) {
+	r := stream.ResumeReader(strings.NewReader(chunk(8, "r", "x")+done), "r", 7)
+	text, err := read(r)
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, "x", text)
+	require.Equal(t, 8, r.Last())
+}
+
+// Guards against an error that a caller takes for an answer, and against data
+// that forges the end of an event.
+func TestWrite(t *testing.T) {
+	var b bytes.Buffer
+	require.NoError(t, stream.WriteError(&b, []byte("{\"error\":\n{\"kind\":\"endpoint\"}}")))
+	require.Equal(t, "event: error\ndata: {\"error\":\ndata: {\"kind\":\"endpoint\"}}\n\n", b.String())
+	_, err := stream.NewReader(&b, "r").Next()
+	var a *stream.Abort
+	require.ErrorAs(t, err, &a)
+	require.JSONEq(t, `{"error":{"kind":"endpoint"}}`, string(a.Body))
+	err = stream.Write(io.Discard, stream.Event{ID: 1, Data: []byte("a\r\rdata: [DONE]")})
+	require.Equal(t, stream.Malformed, fault.KindOf[stream.Kind](err))
+}
+
+// Guards against allocations that grow with the JSON around a token: an event
+// costs its content only.
+func TestReaderAllocations(t *testing.T) {
+	const events = 1000
+	var b bytes.Buffer
+	for i := range events {
+		b.WriteString(chunk(i+1, "request-0123456789", "a longer token"))
+	}
+	r := stream.NewReader(&b, "request-0123456789")
+	per := testing.AllocsPerRun(events-1, func() {
+		if _, err := r.Next(); err != nil {
+			t.Fatal(err)
+		}
+	})
+	require.LessOrEqual(t, per, 1.0)
+}
+
+// Guards against a crash on hostile input, against accepting what is not JSON
+// and against a change of meaning when an event is passed on.
+func FuzzReader(f *testing.F) {
+	f.Add(chunk(1, "r", "a") + done)
+	f.Add("id: 1\ndata: {\"id\":\"r\",\"x\":[1e5,-0.1,true,null,{\"a\":\"\\u00e9\"}]}\n\n" + done)
+	f.Add("event: error\ndata: {}\n\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		r := stream.NewReader(strings.NewReader(in), "r")
+		for {
+			e, err := r.Next()
+			if err != nil {
+				return
+			}
+			if e.Done {
+				continue
+			}
+			require.True(t, json.Valid(e.Data))
+			var b bytes.Buffer
+			require.NoError(t, stream.Write(&b, e))
+			again, err := stream.ResumeReader(&b, "r", e.ID-1).Next()
+			require.NoError(t, err)
+			require.Equal(t, e, again)
+		}
+	})
+}
