--- /dev/null
+++ b/fakes/engine_test.go
@@ -0,0 +1,214 @@
+package fakes_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fakes"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+func startEngine(t *testing.T, cfg fakes.EngineConfig) *fakes.Engine {
+	t.Helper()
+	e := fakes.NewEngine(cfg)
+	require.NoError(t, e.Start())
+	t.Cleanup(e.Close)
+	return e
+}
+
+func ask(text string, limit ident.Tokens) *fakes.Completion {
+	return &fakes.Completion{Messages: []fakes.Message{{Role: "user", Content: text}}, MaxTokens: limit, Stream: true}
+}
+
+func post(ctx context.Context, e *fakes.Engine, request string, urgency int, c *fakes.Completion) (*http.Response, error) {
+	body, _ := json.Marshal(c)
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address()+"/v1/chat/completions", bytes.NewReader(body))
+	r.Header.Set("X-Request-Id", request)
+	r.Header.Set("Tanager-Priority", fmt.Sprint(urgency))
+	return http.DefaultClient.Do(r)
+}
+
+// read returns the text of a stream, the number of its events, and whether it
+// ended with the final marker.
+func read(body io.Reader, request string) (text string, events int, done bool) {
+	s := bufio.NewScanner(body)
+	for s.Scan() {
+		data, ok := strings.CutPrefix(s.Text(), "data: ")
+		if data == "[DONE]" {
+			return text, events, true
+		}
+		var e struct {
+			ID      string `json:"id"`
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		if !ok || json.Unmarshal([]byte(data), &e) != nil || e.ID != request {
+			continue
+		}
+		text += e.Choices[0].Delta.Content
+		events++
+	}
+	return text, events, false
+}
+
+// Guards against answers that a checker can't verify, and against streams whose
+// faults differ from the control that asked for them.
+func TestEngineStreams(t *testing.T) {
+	c := ask("a question [len=10]", 0)
+	whole := fakes.Answer(c)
+	for _, tc := range []struct {
+		name   string
+		faults fakes.EngineFaults
+		events int
+		done   bool
+	}{
+		{"whole", fakes.EngineFaults{}, 10, true},
+		{"truncated", fakes.EngineFaults{Truncate: 1}, 5, false},
+		{"broken", fakes.EngineFaults{Break: 1}, 5, false},
+		{"repeated", fakes.EngineFaults{Repeat: 1}, 20, true},
+		{"crossed", fakes.EngineFaults{Cross: 1}, 2, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := startEngine(t, fakes.EngineConfig{Gap: time.Millisecond})
+			e.Spoil(tc.faults)
+			r, err := post(t.Context(), e, "r1", 0, c)
+			require.NoError(t, err)
+			defer func() { _ = r.Body.Close() }()
+			text, events, done := read(r.Body, "r1")
+			require.Equal(t, tc.events, events)
+			require.Equal(t, tc.done, done)
+			require.Equal(t, tc.name == "whole", text == whole)
+		})
+	}
+}
+
+// Guards against a resumed or continued stream that repeats or skips tokens.
+func TestEngineResumeAndContinue(t *testing.T) {
+	e := startEngine(t, fakes.EngineConfig{Gap: time.Millisecond})
+	c := ask("draft [len=30]", 20)
+	e.Spoil(fakes.EngineFaults{Break: 1})
+	r, err := post(t.Context(), e, "r1", 0, c)
+	require.NoError(t, err)
+	start, events, _ := read(r.Body, "r1")
+	_ = r.Body.Close()
+
+	q, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+e.Address()+"/v1/streams/r1", http.NoBody)
+	q.Header.Set("Last-Event-ID", fmt.Sprint(events))
+	r, err = http.DefaultClient.Do(q)
+	require.NoError(t, err)
+	rest, _, done := read(r.Body, "r1")
+	_ = r.Body.Close()
+	require.True(t, done)
+	require.Equal(t, fakes.Answer(c), start+rest)
+
+	more := *c
+	more.Messages = append([]fakes.Message{}, c.Messages...)
+	more.Messages = append(more.Messages, fakes.Message{Role: "assistant", Content: start})
+	more.Continue, more.MaxTokens = true, c.MaxTokens-ident.Tokens(events)
+	r, err = post(t.Context(), e, "r2", 0, &more)
+	require.NoError(t, err)
+	rest, _, done = read(r.Body, "r2")
+	_ = r.Body.Close()
+	require.True(t, done)
+	require.Equal(t, fakes.Answer(c), start+rest)
+}
+
+// Guards against an engine that ignores urgency, or heeds it when told not to.
+func TestEnginePriority(t *testing.T) {
+	for _, flat := range []bool{false, true} {
+		e := startEngine(t, fakes.EngineConfig{Slots: 1, Gap: time.Millisecond, Flat: flat})
+		for i, urgency := range []int{1, 1, 0} {
+			r, err := post(t.Context(), e, fmt.Sprint("r", i), urgency, ask("x [len=40]", 0))
+			require.NoError(t, err)
+			defer func() { _ = r.Body.Close() }()
+		}
+		require.Eventually(t, func() bool {
+			for _, r := range e.Records() {
+				if r.Outcome != fakes.Complete {
+					return false
+				}
+			}
+			return true
+		}, 10*time.Second, time.Millisecond)
+		rows := e.Records()
+		require.Equal(t, flat, rows[1].Started.Before(rows[2].Started))
+	}
+}
+
+// Guards against accounts that depend on late timers, and against a cache that
+// does not shorten the prefill or survives a crash.
+func TestEngineAccounts(t *testing.T) {
+	e := startEngine(t, fakes.EngineConfig{Gap: time.Millisecond, Prefill: time.Millisecond, Block: 4})
+	c := ask("a b c d e f g h [len=5]", 0) // 9 words, of which 8 in whole blocks
+	run := func(request string) time.Duration {
+		r, err := post(t.Context(), e, request, 0, c)
+		require.NoError(t, err)
+		defer func() { _ = r.Body.Close() }()
+		_, _, done := read(r.Body, request)
+		require.True(t, done)
+		rows := e.Records()
+		return rows[len(rows)-1].Spent
+	}
+	require.Equal(t, 14*time.Millisecond, run("r1"))
+	require.Equal(t, 6*time.Millisecond, run("r2"))
+	e.Crash()
+	_, err := post(t.Context(), e, "r3", 0, c)
+	require.Error(t, err)
+	require.NoError(t, e.Restart())
+	e.Slow(2)
+	require.Equal(t, 19*time.Millisecond, run("r4"))
+	require.Equal(t, 39*time.Millisecond, e.Spent())
+}
+
+// Guards against work that goes on after it was cancelled or abandoned, and
+// against a leaving engine or a crash that is not reported as such.
+func TestEngineEndsWork(t *testing.T) {
+	e := startEngine(t, fakes.EngineConfig{Keep: 20 * clock.Millisecond, Gap: 10 * time.Millisecond})
+	last := func(want fakes.Outcome) func() bool {
+		return func() bool { rows := e.Records(); return rows[len(rows)-1].Outcome == want }
+	}
+	r, err := post(t.Context(), e, "r1", 0, ask("x [len=1000]", 0))
+	require.NoError(t, err)
+	q, _ := http.NewRequestWithContext(t.Context(), http.MethodDelete, "http://"+e.Address()+"/v1/streams/r1", http.NoBody)
+	d, err := http.DefaultClient.Do(q)
+	require.NoError(t, err)
+	_ = d.Body.Close()
+	require.Equal(t, http.StatusNoContent, d.StatusCode)
+	require.Eventually(t, last(fakes.Cancelled), 5*time.Second, time.Millisecond)
+	_ = r.Body.Close()
+
+	r, err = post(t.Context(), e, "r2", 0, ask("x [len=1000]", 0))
+	require.NoError(t, err)
+	_ = r.Body.Close()
+	require.Eventually(t, last(fakes.Cancelled), 5*time.Second, time.Millisecond)
+
+	e.Leave(true)
+	r, err = post(t.Context(), e, "r3", 0, ask("x", 0))
+	require.NoError(t, err)
+	_ = r.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+	require.Equal(t, "leaving", r.Header.Get("Tanager-State"))
+	require.True(t, last(fakes.Refused)())
+
+	e.Leave(false)
+	e.Mark("[crash]")
+	r, err = post(t.Context(), e, "r4", 0, ask("x [crash]", 0))
+	if err == nil {
+		_, _, done := read(r.Body, "r4")
+		_ = r.Body.Close()
+		require.False(t, done)
+	}
+	require.Eventually(t, last(fakes.Lost), 5*time.Second, time.Millisecond)
+}
--- /dev/null
+++ b/fakes/link_test.go
@@ -0,0 +1,111 @@
+package fakes_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/fakes"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// echo starts a server that sends back what it receives.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func dial(t *testing.T, forth, back *fakes.Path) (*net.TCPConn, *fakes.Link) {
+	t.Helper()
+	l := fakes.NewLink(fakes.LinkConfig{Target: echo(t), Forth: forth, Back: back})
+	require.NoError(t, l.Start())
+	t.Cleanup(l.Close)
+	c, err := net.Dial("tcp", l.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c.(*net.TCPConn), l
+}
+
+// Guards against bytes out of order, a delay per packet instead of per path,
+// and a bandwidth that is not enforced.
+func TestLinkCarries(t *testing.T) {
+	const delay = 20 * time.Millisecond
+	for _, tc := range []struct {
+		name     string
+		rate     ident.Bytes
+		at, most time.Duration
+	}{
+		// 4 MB are 256 chunks, which take above 5 s if each waits for the delay.
+		{"pipelined", 0, 4 * delay, 5 * time.Second},
+		{"limited", 16 << 20, 4*delay + 250*time.Millisecond, 10 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			forth := fakes.NewPath(fakes.PathConfig{Delay: delay, Rate: tc.rate})
+			back := fakes.NewPath(fakes.PathConfig{Delay: delay})
+			start := time.Now()
+			c, l := dial(t, forth, back)
+			sent := make([]byte, 4<<20)
+			for i := range sent {
+				sent[i] = byte(i * 31 >> 3)
+			}
+			go func() {
+				_, _ = c.Write(sent)
+				_ = c.CloseWrite()
+			}()
+			got, err := io.ReadAll(c)
+			took := time.Since(start)
+			require.NoError(t, err)
+			require.True(t, bytes.Equal(sent, got))
+			require.GreaterOrEqual(t, took, tc.at)
+			require.Less(t, took, tc.most)
+			require.EqualValues(t, len(sent), forth.Bytes())
+			require.EqualValues(t, 2*len(sent), l.Bytes())
+		})
+	}
+}
+
+// Guards against a cut that is noticed by either side, or that loses bytes of a
+// connection which lives on.
+func TestLinkCut(t *testing.T) {
+	forth, back := fakes.NewPath(fakes.PathConfig{}), fakes.NewPath(fakes.PathConfig{})
+	c, l := dial(t, forth, back)
+	buffer := make([]byte, 1)
+	exchange := func(wait time.Duration) error {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(wait)))
+		_, err := io.ReadFull(c, buffer)
+		return err
+	}
+	_, err := c.Write([]byte("a"))
+	require.NoError(t, err)
+	require.NoError(t, exchange(5*time.Second))
+	back.Cut(true)
+	_, err = c.Write([]byte("b"))
+	require.NoError(t, err)
+	var netErr net.Error
+	require.ErrorAs(t, exchange(50*time.Millisecond), &netErr)
+	require.True(t, netErr.Timeout())
+	back.Cut(false)
+	require.NoError(t, exchange(5*time.Second))
+	require.Equal(t, "b", string(buffer))
+	l.Reset()
+	require.Error(t, exchange(5*time.Second))
+}
