feat(bundle): parse, check, sign and hold the version in force

Cause: entries need a signed document that is rejected with the path of its fault, and a version that only increases.

--- /dev/null
+++ b/bundle/force_test.go
@@ -0,0 +1,171 @@
+package bundle_test
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+func newKey(t require.TestingT, id ident.Key) (bundle.PublicKey, bundle.PrivateKey) {
+	public, private, err := bundle.GenerateKey(id)
+	require.NoError(t, err)
+	return public, private
+}
+
+// body returns the sample under another version and deployment name.
+func body(version ident.Version, deployment string) []byte {
+	text := strings.Replace(sample, `"version": 7`, fmt.Sprintf(`"version": %d`, version), 1)
+	return []byte(strings.Replace(text, "kgosi", deployment, 1))
+}
+
+func signed(t require.TestingT, k bundle.PrivateKey, version ident.Version, deployment string) []byte {
+	s, err := bundle.Sign(k, body(version, deployment))
+	require.NoError(t, err)
+	return s.Encode()
+}
+
+// Guards against a bundle that is accepted without a valid signature of a known key.
+func TestOfferRejects(t *testing.T) {
+	public, private := newKey(t, "k1")
+	_, other := newKey(t, "k1")
+	_, unknown := newKey(t, "k2")
+	f := bundle.NewForce([]bundle.PublicKey{public})
+	_, err := f.Offer(signed(t, private, 7, "kgosi"))
+	require.NoError(t, err)
+	altered := bundle.Signed{}
+	require.NoError(t, json.Unmarshal(signed(t, private, 8, "kgosi"), &altered))
+	altered.Body = body(9, "kgosi")
+	short := bundle.Signed{Key: "k1", Body: body(9, "kgosi"), Sign: []byte("x")}
+	cases := []struct {
+		name  string
+		offer []byte
+		kind  bundle.Kind
+	}{
+		{"another key under the id", signed(t, other, 8, "kgosi"), bundle.KindSignature},
+		{"unknown key", signed(t, unknown, 8, "kgosi"), bundle.KindSignature},
+		{"altered body", altered.Encode(), bundle.KindSignature},
+		{"short signature", short.Encode(), bundle.KindSignature},
+		{"garbage", []byte("garbage"), bundle.KindInvalid},
+		{"unknown field", []byte(`{"key": "k1", "body": "", "sign": "", "more": 1}`), bundle.KindInvalid},
+		{"lower version", signed(t, private, 6, "kgosi"), bundle.KindStale},
+		{"another document", signed(t, private, 7, "skovbro"), bundle.KindConflict},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			change, err := f.Offer(c.offer)
+			require.Equal(t, c.kind, fault.KindOf[bundle.Kind](err), "%v", err)
+			require.Zero(t, change)
+			require.Equal(t, ident.Version(7), f.Mark().Version)
+			require.Equal(t, "kgosi", f.Current().Deployment)
+		})
+	}
+}
+
+// Guards against key texts that lose the key, and against secrets in logs.
+func TestKeyText(t *testing.T) {
+	public, private := newKey(t, "k1")
+	keys, err := bundle.ParsePublicKeys(public.String() + ", " + strings.Replace(public.String(), "k1", "k2", 1))
+	require.NoError(t, err)
+	require.Equal(t, public, keys[0])
+	read, err := bundle.ParsePrivateKey(private.Encode() + "\n")
+	require.NoError(t, err)
+	require.Equal(t, public, read.Public())
+	require.NotContains(t, fmt.Sprintf("%v %+v %s", private, private, private), private.Encode()[3:])
+	for _, text := range []string{"", "k1", "=AAAA", "k1=AAAA", "k1=!", public.String() + "," + public.String()} {
+		_, err := bundle.ParsePublicKeys(text)
+		require.Equal(t, bundle.KindKey, fault.KindOf[bundle.Kind](err), text)
+	}
+	_, _, err = bundle.GenerateKey("k 1")
+	require.Error(t, err)
+}
+
+// Guards against a document that fits but whose signed form the platform can't hold.
+func TestSignBoundsEncodedSize(t *testing.T) {
+	_, private := newKey(t, "k1")
+	_, err := bundle.Sign(private, []byte(sample+strings.Repeat(" ", bundle.MaxSize*4/5)))
+	require.Equal(t, bundle.KindInvalid, fault.KindOf[bundle.Kind](err))
+}
+
+// Guards against a version that falls or is replaced under its number: two
+// operators sign rival documents, and offers arrive repeated and in any order.
+func TestForceVersionRule(t *testing.T) {
+	public, private := newKey(t, "k1")
+	rivalPublic, rival := newKey(t, "k2")
+	var offers [6][2][]byte
+	for i := range offers {
+		v := ident.Version(i + 1)
+		offers[i] = [2][]byte{signed(t, private, v, "north"), signed(t, rival, v, "south")}
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		f := bundle.NewForce([]bundle.PublicKey{public, rivalPublic})
+		var version ident.Version
+		var first []byte
+		for range rapid.IntRange(1, 20).Draw(rt, "offers") {
+			v := ident.Version(rapid.IntRange(1, 6).Draw(rt, "version"))
+			o := offers[v-1][rapid.IntRange(0, 1).Draw(rt, "operator")]
+			change, err := f.Offer(o)
+			switch {
+			case v > version:
+				require.NoError(rt, err)
+				require.Equal(rt, bundle.Change{Old: version, New: v}, change)
+				version, first = v, o
+			case v < version:
+				require.Equal(rt, bundle.KindStale, fault.KindOf[bundle.Kind](err))
+			case string(o) == string(first):
+				require.NoError(rt, err)
+				require.Equal(rt, bundle.Change{Old: v, New: v}, change)
+			default:
+				require.Equal(rt, bundle.KindConflict, fault.KindOf[bundle.Kind](err))
+			}
+			require.Equal(rt, version, f.Mark().Version)
+			require.Equal(rt, first, f.Encoded())
+		}
+	})
+}
+
+// Guards against a race of offers after which an older or a torn bundle is in
+// force; the race detector sees unsafe reads.
+func TestForceConcurrent(t *testing.T) {
+	public, private := newKey(t, "k1")
+	f := bundle.NewForce([]bundle.PublicKey{public})
+	require.Nil(t, f.Current())
+	require.Nil(t, f.Encoded())
+	require.Zero(t, f.Mark())
+	var wait sync.WaitGroup
+	for v := ident.Version(1); v <= 20; v++ {
+		o := signed(t, private, v, "kgosi")
+		wait.Go(func() {
+			_, _ = f.Offer(o)
+			assert.GreaterOrEqual(t, f.Current().Version, v)
+		})
+	}
+	wait.Wait()
+	require.Equal(t, ident.Version(20), f.Current().Version)
+	require.Equal(t, sha256.Sum256(body(20, "kgosi")), [32]byte(f.Mark().Digest))
+}
+
+// Guards against input that panics the parser or passes it without passing Check.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{sample, "", "{}", "null", "[]", `{"version": 1e3}`, `{"homes": [{"regions": [[]]}]}`, sample + "}"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, input []byte) {
+		d, err := bundle.Parse(input)
+		if err != nil {
+			return
+		}
+		require.NoError(t, d.Check())
+		require.NotNil(t, d.ClassFor(0))
+	})
+}
--- /dev/null
+++ b/bundle/lookup.go
@@ -0,0 +1,87 @@
+package bundle
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// Service finds a service by name.
+func (d *Document) Service(name ident.Service) (*Service, bool) {
+	i := slices.IndexFunc(d.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return nil, false
+	}
+	return &d.Services[i], true
+}
+
+// Allowed returns the regions that may serve a request for s with the given
+// home: those of the service, reduced to those of the home unless home is
+// empty. The list is never empty without an error: KindHome for a home that is
+// not declared, KindRegion if the home has no region of the service.
+func (d *Document) Allowed(s *Service, home ident.Home) ([]ident.Region, error) {
+	if home == "" {
+		return slices.Clone(s.Regions), nil
+	}
+	i := slices.IndexFunc(d.Homes, func(h Home) bool { return h.Name == home })
+	if i < 0 {
+		return nil, fault.Newf("allowed", KindHome, "home %.64q is not declared", home)
+	}
+	var allowed []ident.Region
+	for _, r := range s.Regions {
+		if slices.Contains(d.Homes[i].Regions, r) {
+			allowed = append(allowed, r)
+		}
+	}
+	if len(allowed) == 0 {
+		return nil, fault.Newf("allowed", KindRegion, "service %q has no region of home %q", s.Name, home)
+	}
+	return allowed, nil
+}
+
+// ClassFor returns the class of a request with the given answer limit: the one
+// with the smallest bound that the limit fits, or else the unbounded one. An
+// answer of 0 or less stands for a request without a limit. The result is nil
+// only for a document that fails Check.
+func (d *Document) ClassFor(answer ident.Tokens) *Class {
+	var best *Class
+	for i := range d.Classes {
+		c := &d.Classes[i]
+		if c.Tokens != 0 && (answer <= 0 || answer > c.Tokens) {
+			continue
+		}
+		if best == nil || best.Tokens == 0 || c.Tokens != 0 && c.Tokens < best.Tokens {
+			best = c
+		}
+	}
+	return best
+}
+
+// Call finds the call for a method and a decoded path: one with exactly that
+// path, or else the one with the longest prefix. It finds none for a path with
+// empty, "." or ".." segments.
+func (s *Service) Call(method, path string) (*Call, bool) {
+	if !cleanPath(path) {
+		return nil, false
+	}
+	var best *Call
+	for i := range s.Calls {
+		c := &s.Calls[i]
+		if c.Method != method || !c.matches(path) {
+			continue
+		}
+		if c.Path == path {
+			return c, true
+		}
+		if best == nil || len(c.Path) > len(best.Path) {
+			best = c
+		}
+	}
+	return best, best != nil
+}
+
+func (c *Call) matches(path string) bool {
+	return path == c.Path || strings.HasSuffix(c.Path, "/") && strings.HasPrefix(path, c.Path)
+}
