--- /dev/null
+++ b/member/table_test.go
@@ -0,0 +1,227 @@
+package member_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/member"
+	"github.com/tanagerbridge/tanagerbridge/news"
+	"github.com/tanagerbridge/tanagerbridge/watch"
+)
+
+// Guards against a wrong order of records: an older process must never replace a
+// later one, and an accusation must lose to its refutation.
+func TestHearOrder(t *testing.T) {
+	row := func(i ident.Incarnation, g uint64, s news.State) news.Member {
+		return news.Member{Entry: "b", Incarnation: i, Generation: g, State: s}
+	}
+	cases := []struct {
+		name     string
+		old, new news.Member
+		changed  bool
+	}{
+		{"older incarnation", row(5, 0, news.Alive), row(4, 9, news.Failed), false},
+		{"newer incarnation", row(5, 7, news.Left), row(6, 0, news.Alive), true},
+		{"suspicion", row(5, 1, news.Alive), row(5, 1, news.Suspect), true},
+		{"late suspicion", row(5, 2, news.Alive), row(5, 1, news.Suspect), false},
+		{"refutation", row(5, 1, news.Failed), row(5, 2, news.Alive), true},
+		{"alive is no refutation", row(5, 1, news.Failed), row(5, 1, news.Alive), false},
+		{"failure of a suspect", row(5, 1, news.Suspect), row(5, 1, news.Failed), true},
+		{"repeated", row(5, 1, news.Alive), row(5, 1, news.Alive), false},
+		{"unknown state", row(5, 1, news.Alive), row(6, 1, "odd"), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := member.New(member.Config{Self: news.Member{Entry: "a"}})
+			table.Hear(0, []news.Member{c.old})
+			require.Equal(t, c.changed, table.Hear(0, []news.Member{c.new}))
+			want := c.old
+			if c.changed {
+				want = c.new
+			}
+			got, _ := table.Find("b")
+			require.Equal(t, want, got.Member)
+		})
+	}
+}
+
+// Guards against a crashed entry that stays in use, and against removal before the
+// platform's list agrees.
+func TestCrashIsDetectedAndForgotten(t *testing.T) {
+	w := newNetwork(4, 3, 1)
+	w.run(10 * clock.Second)
+	w.processes[w.names[3]].paused = true
+	w.run(10 * clock.Second)
+	for i := range 3 {
+		require.Equal(t, news.Failed, w.state(i, 3))
+		require.Len(t, w.table(i).Live(), 2)
+		w.table(i).Sync(w.now, w.list)
+		require.Len(t, w.table(i).Members(), 3)
+		w.table(i).Sync(w.now, w.list[:3])
+		require.Len(t, w.table(i).Members(), 2)
+	}
+}
+
+// Guards against removal of a member that the list lacks but that still answers.
+func TestAbsentMember(t *testing.T) {
+	w := newNetwork(3, 1, 1)
+	w.run(5 * clock.Second)
+	for range 5 {
+		w.table(0).Sync(w.now, w.list[:2])
+		w.run(clock.Second)
+	}
+	require.Len(t, w.table(0).Live(), 2)
+	w.processes[w.names[2]].paused = true
+	w.run(2500 * clock.Millisecond)
+	w.table(0).Sync(w.now, w.list[:2])
+	require.Len(t, w.table(0).Live(), 1)
+}
+
+// Guards against a cut in one direction between two entries that takes either out of use
+// although others reach both.
+func TestOneWayCut(t *testing.T) {
+	w := newNetwork(4, 3, 1)
+	w.run(5 * clock.Second)
+	w.cut[[2]ident.Entry{w.names[0], w.names[1]}] = true
+	for range 300 {
+		w.advance()
+		for i := range 4 {
+			require.Len(t, w.table(i).Live(), 3)
+		}
+	}
+}
+
+// Guards against work for a process that has resumed with an outdated view, and
+// against a cut-off process that never serves again.
+func TestPause(t *testing.T) {
+	w := newNetwork(3, 1, 1)
+	require.False(t, w.table(0).Ready(w.now))
+	w.run(3 * clock.Second)
+	require.True(t, w.table(0).Ready(w.now))
+	p := w.processes[w.names[0]]
+	p.paused = true
+	w.run(5 * clock.Second)
+	require.False(t, w.table(0).Ready(w.now), "a paused process is not ready before its first tick either")
+	p.paused = false
+	p.inbox = nil
+	w.isolate(0, true)
+	for range 15 {
+		w.advance()
+		require.False(t, w.table(0).Ready(w.now))
+		require.Len(t, w.table(0).Live(), 2)
+	}
+	w.run(2 * clock.Second)
+	require.True(t, w.table(0).Ready(w.now), "a cut-off process serves its callers")
+	w.isolate(0, false)
+	w.run(10 * clock.Second)
+	for i := range 3 {
+		require.Len(t, w.table(i).Live(), 2)
+	}
+}
+
+// Guards against an answer from before the pause that makes a process ready.
+func TestLateAnswer(t *testing.T) {
+	w := newNetwork(2, 1, 1)
+	table := w.table(0)
+	sends := table.Tick(w.now)
+	require.NotEmpty(t, sends)
+	table.Acked(w.now.Add(5*clock.Second), sends[0].To, sends[0].Seq)
+	require.False(t, table.Ready(w.now.Add(5*clock.Second)))
+}
+
+// Guards against a process without peers that never serves, and one that serves
+// before it has looked for peers.
+func TestReadyWithoutPeers(t *testing.T) {
+	table := member.New(member.Config{Self: news.Member{Entry: "a"}})
+	table.Tick(1)
+	require.False(t, table.Ready(1))
+	table.Sync(2, []watch.Instance{{Name: "a", Role: watch.RoleEntry}})
+	table.Tick(3)
+	require.True(t, table.Ready(3))
+}
+
+// Guards against a slow process, with ticks far apart but below the pause limit, that
+// takes its own slowness for the failure of others.
+func TestSlowProcess(t *testing.T) {
+	w := newNetwork(3, 1, 1)
+	w.run(5 * clock.Second)
+	p := w.processes[w.names[0]]
+	for range 40 {
+		p.paused = true
+		w.run(1500 * clock.Millisecond)
+		p.paused = false
+		w.advance()
+		require.Len(t, w.table(1).Live(), 2)
+		require.Len(t, w.table(0).Live(), 2)
+	}
+}
+
+// Guards against a leaving entry that is still named, and against an heir that
+// nobody knows.
+func TestLeave(t *testing.T) {
+	w := newNetwork(4, 3, 1)
+	w.run(5 * clock.Second)
+	w.table(0).Drain()
+	w.run(3 * clock.Second)
+	require.Len(t, w.table(1).Live(), 2)
+	w.table(0).Leave(w.now, w.names[2])
+	w.table(1).Hear(w.now, w.table(0).Updates())
+	w.processes[w.names[0]].paused = true
+	w.run(10 * clock.Second)
+	for i := 1; i < 4; i++ {
+		require.Equal(t, news.Left, w.state(i, 0))
+		heir, ok := w.table(i).Heir(w.names[0], 1)
+		require.True(t, ok)
+		require.Equal(t, w.names[2], heir)
+		w.table(i).Sync(w.now, w.list[1:])
+		_, ok = w.table(i).Heir(w.names[0], 1)
+		require.True(t, ok, "the heir outlives the member")
+		_, ok = w.table(i).Heir(w.names[0], 2)
+		require.False(t, ok)
+	}
+}
+
+// Guards against a process that goes on under a name that was given to a later one.
+func TestSuperseded(t *testing.T) {
+	w := newNetwork(2, 1, 1)
+	w.run(3 * clock.Second)
+	w.table(0).Hear(w.now, []news.Member{{Entry: w.names[0], Incarnation: 2, State: news.Alive}})
+	require.True(t, w.table(0).Superseded())
+	require.False(t, w.table(0).Ready(w.now))
+}
+
+// Guards against members without monitors and against too many probes per node.
+func TestMonitors(t *testing.T) {
+	w := newNetwork(120, 4, 1)
+	watched := map[ident.Entry]int{}
+	for i := range w.names {
+		m := w.table(i).Monitors()
+		require.LessOrEqual(t, len(m), 40)
+		for _, r := range m {
+			watched[r.Entry]++
+		}
+	}
+	for _, n := range w.names {
+		require.Equal(t, 8+3*2, watched[n])
+	}
+	small := newNetwork(4, 3, 1)
+	require.Len(t, small.table(0).Monitors(), 3)
+}
+
+// Guards against messages that grow with the size of the table.
+func TestUpdatesAreBounded(t *testing.T) {
+	w := newNetwork(120, 4, 1)
+	var updates []news.Member
+	for _, n := range w.names[1:] {
+		updates = append(updates, news.Member{Entry: n, Incarnation: 1, State: news.Alive})
+	}
+	w.table(0).Hear(w.now, updates)
+	require.LessOrEqual(t, len(w.table(0).Updates()), 11)
+	for range 1000 {
+		w.table(0).Updates()
+	}
+	require.LessOrEqual(t, len(w.table(0).Updates()), 3, "updates are not repeated for ever")
+}
