--- a/queue/line.go
+++ b/queue/line.go
@@ -116,6 +116,7 @@
 		switch visit(e.item) {
 		case Take:
 			l.taken = append(l.taken, e)
+			l.count--
 			return true, len(l.taken)-first >= limit
 		case SkipClass:
 			l.skipped = append(l.skipped, e.item.Class)
@@ -129,12 +130,11 @@
 	return stopped
 }
 
-// settle updates the counts after n items were taken from band i.
+// settle updates the turns after n items were taken from band i.
 func (l *line) settle(i, n int) {
 	if n == 0 {
 		return
 	}
-	l.count -= n
 	l.bands[i].passed = 0
 	for _, b := range l.bands[i+1:] {
 		if len(b.entries) > 0 {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -88,7 +88,8 @@
 // Len returns the number of items in the queue.
 func (q *Queue) Len() int { return len(q.requests) }
 
-// Waiting returns the number of items that wait for service s.
+// Waiting returns the number of items that wait for service s; within a callback of
+// Scan, items already taken don't count.
 func (q *Queue) Waiting(s ident.Service) int {
 	if l := q.find(s); l != nil {
 		return l.count
--- /dev/null
+++ b/route/away.go
@@ -0,0 +1,232 @@
+package route
+
+import (
+	"math"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fleet"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/news"
+)
+
+const (
+	// trip is the round trip between two regions of the deployments.
+	trip = 110 * clock.Millisecond
+	// transfer is the speed in bytes/ms of the thinnest link, 100 Mbit/s.
+	transfer = 12500
+	// stale is the age from which a summary of another region is not relied on.
+	stale = 5 * clock.Second
+	// least and most bound the weight of the share sent away.
+	least = 0.25
+	most  = 4.0
+	// margin is the start threshold of urgent work relative to the stop threshold.
+	margin = 1.25
+	// guess is the duration of a request as long as none is known.
+	guess = clock.Second
+	// blend is the weight of a new sample in the means of sizes and kinds.
+	blend = 0.05
+)
+
+// flow is the work of one service that is or is not long.
+type flow struct {
+	service ident.Service
+	long    bool
+}
+
+// away decides when work goes to another region.
+type away struct {
+	// sending has the flows that are above their stop threshold since they were above
+	// their start threshold.
+	sending map[flow]bool
+	// sends has the times of what was sent to a place within the age of a summary.
+	sends map[place][]clock.Time
+	// sizes has the mean size of the work placed, urgent the part of it that is urgent.
+	sizes  map[flow]float64
+	urgent map[ident.Service]float64
+}
+
+func newAway() *away {
+	return &away{
+		sending: map[flow]bool{},
+		sends:   map[place][]clock.Time{},
+		sizes:   map[flow]float64{},
+		urgent:  map[ident.Service]float64{},
+	}
+}
+
+// placed takes in a request that was placed.
+func (w *away) placed(a *Ask) {
+	u := 1.0
+	if a.Long {
+		u = 0
+	}
+	w.urgent[a.Service] += (u - w.urgent[a.Service]) * blend
+	if a.Size <= 0 {
+		return
+	}
+	f := flow{a.Service, a.Long}
+	if w.sizes[f] == 0 {
+		w.sizes[f] = float64(a.Size)
+		return
+	}
+	w.sizes[f] += (float64(a.Size) - w.sizes[f]) * blend
+}
+
+// sent records a request sent to another region.
+func (w *away) sent(now clock.Time, p place) {
+	kept := w.sends[p][:0]
+	for _, t := range w.sends[p] {
+		if now.Sub(t) < stale+trip {
+			kept = append(kept, t)
+		}
+	}
+	w.sends[p] = append(kept, now)
+}
+
+// expect returns how long a will have waited when a slot of the region is free for
+// it: what is ahead of it, times the time in which one of the slots that its class
+// may use becomes free.
+func (w *away) expect(a *Ask, v View, m room, found []fleet.Candidate) clock.Span {
+	ahead := float64(v.Waiting(a.Service))
+	if !a.Long {
+		ahead *= w.urgent[a.Service]
+	}
+	slots := 0.0
+	for i := range found {
+		slots += worth(&found[i])
+	}
+	turnover := w.duration(a, found) / max(0.1, slots*m.share)
+	return a.Waited + clock.Span(math.Ceil((ahead+1)*turnover))
+}
+
+// duration returns the mean time in ms for which the work that a waits for holds a
+// slot: long work for its own kind, urgent work for any.
+func (w *away) duration(a *Ask, found []fleet.Candidate) float64 {
+	if s := w.sizes[flow{a.Service, true}]; a.Long && s > 0 {
+		return s
+	}
+	if len(found) > 0 && found[0].Duration > 0 {
+		return float64(found[0].Duration)
+	}
+	if a.Size > 0 {
+		return float64(a.Size)
+	}
+	return float64(guess)
+}
+
+// passes reports whether a wait is long enough to send a away at a cost, and keeps
+// the hysteresis of its flow. The flow stops once a newcomer's wait is below the
+// stop threshold.
+func (w *away) passes(a *Ask, weight float64, wait, cost clock.Span) bool {
+	begin, end := thresholds(a, weight, cost)
+	f := flow{a.Service, a.Long}
+	switch {
+	case wait > begin:
+		w.sending[f] = true
+	case wait <= end && a.Waited <= end/2:
+		w.sending[f] = false
+	}
+	return wait > begin || w.sending[f] && wait > end
+}
+
+// thresholds returns the waits above which sending a away starts and stops. Urgent
+// work is sent only if it would miss its target here. Long work, of which few
+// requests free much capacity, goes well before that.
+func thresholds(a *Ask, weight float64, cost clock.Span) (begin, end clock.Span) {
+	factor := min(max(weight, least), most)
+	price := factor * float64(cost)
+	if !a.Long {
+		limit := max(float64(a.First), price)
+		return clock.Span(margin * limit), clock.Span(limit)
+	}
+	begin = clock.Span(price + factor*float64(a.First)/2)
+	end = clock.Span(price + factor*float64(a.First)/4)
+	return max(begin, cost), max(end, cost)
+}
+
+// spare returns how many requests of a's class a region can take beyond what this
+// entry has sent there since the summary was made.
+func (w *away) spare(now clock.Time, a *Ask, share float64, l news.Load) int {
+	made := now.Add(-l.Age)
+	free := l.Free
+	for _, t := range w.sends[place{a.Service, l.Region}] {
+		if t.Add(trip / 2).After(made) {
+			free--
+		}
+	}
+	if share < 1 {
+		free -= l.Slots - int(quota(share, float64(l.Slots)))
+	}
+	return free
+}
+
+// send places a in the allowed region with the least cost, if its wait here exceeds that.
+func (t *tanager) send(now clock.Time, a *Ask, v View, avoid bool, wait clock.Span) (Choice, bool) {
+	best := ident.Region("")
+	lowest := clock.Span(math.MaxInt64)
+	for _, r := range a.Regions {
+		l, ok := t.offer(now, a, v, r)
+		if !ok {
+			continue
+		}
+		if c := cost(a, l.Wait); c < lowest {
+			best, lowest = r, c
+		}
+	}
+	if best == "" || !t.away.passes(a, v.Weights().Away, wait, lowest) {
+		return Choice{}, false
+	}
+	return t.remote(now, a, v, best, avoid)
+}
+
+// offer returns the summary of region r if it is fresh and has room, and the link
+// has too.
+func (t *tanager) offer(now clock.Time, a *Ask, v View, r ident.Region) (news.Load, bool) {
+	if r == v.Region() || !v.Link(r, a.Bytes) {
+		return news.Load{}, false
+	}
+	l, ok := v.Remote(a.Service, r)
+	if !ok || l.Age > stale {
+		return news.Load{}, false
+	}
+	l.Region = r
+	return l, t.away.spare(now, a, share(a, v), l) > 0
+}
+
+// cost returns the time that the way to another region and the wait there take.
+func cost(a *Ask, wait clock.Span) clock.Span {
+	return wait + trip + clock.Span(a.Bytes/transfer)
+}
+
+// remote picks an endpoint in region r.
+func (t *tanager) remote(now clock.Time, a *Ask, v View, r ident.Region, avoid bool) (Choice, bool) {
+	found := v.Candidates(a.Service, r)
+	usable := t.filter(now, a, r, found, avoid)
+	i := t.pick(a, measure(found, share(a, v)), found, usable)
+	if i < 0 {
+		return Choice{}, false
+	}
+	return Choice{Endpoint: found[i].Endpoint, Region: r, Away: true}, true
+}
+
+// elsewhere places a request for which the entry's region has no endpoint: first in
+// regions whose summary shows room, then in any with a slot by this entry's own count.
+func (t *tanager) elsewhere(now clock.Time, a *Ask, v View, avoid bool) (Choice, bool) {
+	for _, r := range a.Regions {
+		if _, ok := t.offer(now, a, v, r); !ok {
+			continue
+		}
+		if c, ok := t.remote(now, a, v, r, avoid); ok {
+			return c, true
+		}
+	}
+	for _, r := range a.Regions {
+		if r == v.Region() || !v.Link(r, a.Bytes) {
+			continue
+		}
+		if c, ok := t.remote(now, a, v, r, avoid); ok {
+			return c, true
+		}
+	}
+	return Choice{}, false
+}
--- /dev/null
+++ b/route/tanager.go
@@ -0,0 +1,279 @@
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fleet"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+const (
+	// sluggish is the weight below which an endpoint that is not cold gets only probes
+	// while others have capacity.
+	sluggish = 0.5
+	// detour is how many times its size a request must have waited before it goes to
+	// a slow endpoint. That is what it loses there if the endpoint is 5 times slower.
+	detour = 4
+	// surplus is by how much an endpoint's load may exceed the average of its peers for
+	// prefix affinity to hold.
+	surplus = 1.25
+	// ranks is how many endpoints, by rendezvous hash, share one prefix.
+	ranks = 2
+	// shortFirst and longFirst are the defaults of Ask.First.
+	shortFirst = 1600 * clock.Millisecond
+	longFirst  = 8 * clock.Second
+)
+
+// tanager places work in the entry's region as long as that has slots, keeps slots
+// free for urgent work, and sends to other regions what would wait too long.
+type tanager struct {
+	*picker
+	away *away
+}
+
+// room is the part of a region's slots that an ask may use.
+type room struct {
+	share float64
+	// slots and long are the sums over the region's candidates.
+	slots float64
+	long  float64
+	// load is the sum of loads.
+	load float64
+}
+
+func newTanager(random *rand.Rand) *tanager {
+	return &tanager{picker: newPicker(random), away: newAway()}
+}
+
+// String returns the policy's name.
+func (t *tanager) String() string { return Tanager }
+
+// Queues returns true.
+func (t *tanager) Queues() bool { return true }
+
+// Classes returns true.
+func (t *tanager) Classes() bool { return true }
+
+// Choose returns where to send the request now, or false if it has to wait.
+func (t *tanager) Choose(now clock.Time, a Ask, v View) (Choice, bool) {
+	if a.First <= 0 {
+		a.First = target(&a)
+	}
+	c, ok := t.choose(now, &a, v)
+	if !ok {
+		return Choice{}, false
+	}
+	t.away.placed(&a)
+	if c.Away {
+		t.away.sent(now, place{a.Service, c.Region})
+	}
+	return c, true
+}
+
+// target returns the default target for the time to the first token.
+func target(a *Ask) clock.Span {
+	if a.Long {
+		return longFirst
+	}
+	return shortFirst
+}
+
+// choose is Choose without the bookkeeping.
+func (t *tanager) choose(now clock.Time, a *Ask, v View) (Choice, bool) {
+	if a.Alone {
+		return t.alone(now, a, v)
+	}
+	avoid := avoids(a, v)
+	own := v.Region()
+	found := t.home(a, v)
+	if !untried(a, found, avoid) {
+		return t.elsewhere(now, a, v, avoid)
+	}
+	usable := t.filter(now, a, own, found, avoid)
+	m := measure(found, share(a, v))
+	if i := t.probe(a, m, found, usable); i >= 0 {
+		return at(found, i, own), true
+	}
+	if i := t.pick(a, m, found, usable); i >= 0 {
+		return at(found, i, own), true
+	}
+	wait := t.away.expect(a, v, m, found)
+	if c, ok := t.send(now, a, v, avoid, wait); ok {
+		return c, true
+	}
+	// send filters the candidates of other regions.
+	usable = t.filter(now, a, own, found, avoid)
+	if i := t.resort(a, m, found, usable, wait); i >= 0 {
+		return at(found, i, own), true
+	}
+	return Choice{}, false
+}
+
+// at returns the choice of candidate i in the entry's region.
+func at(found []fleet.Candidate, i int, own ident.Region) Choice {
+	return Choice{Endpoint: found[i].Endpoint, Region: own}
+}
+
+// home returns the candidates in the entry's region if it is allowed.
+func (t *tanager) home(a *Ask, v View) []fleet.Candidate {
+	if !slices.Contains(a.Regions, v.Region()) {
+		return nil
+	}
+	return v.Candidates(a.Service, v.Region())
+}
+
+// untried reports whether there is a candidate that need not be avoided.
+func untried(a *Ask, found []fleet.Candidate, avoid bool) bool {
+	if !avoid {
+		return len(found) > 0
+	}
+	for i := range found {
+		if !slices.Contains(a.Avoid, found[i].Endpoint) {
+			return true
+		}
+	}
+	return false
+}
+
+// share returns the class's share of slots, from 0 to 1.
+func share(a *Ask, v View) float64 {
+	s := v.Share(a.Class)
+	if s <= 0 || s > 1 {
+		return 1
+	}
+	return s
+}
+
+// measure sums up a region's candidates.
+func measure(found []fleet.Candidate, share float64) room {
+	m := room{share: share}
+	for i := range found {
+		m.slots += float64(found[i].Slots)
+		m.long += found[i].Long
+		m.load += found[i].Load
+	}
+	return m
+}
+
+// quota returns how many of n slots a class may hold. Where its share makes less
+// than one slot, it may hold one, and the region's total keeps the others free.
+func quota(share, n float64) float64 { return max(1, math.Floor(share*n+1e-9)) }
+
+// fits reports whether c has a slot for a.
+func (m *room) fits(a *Ask, c *fleet.Candidate) bool {
+	if c.Load+1 > float64(c.Slots) {
+		return false
+	}
+	if m.share >= 1 {
+		return true
+	}
+	return c.Long+1 <= quota(m.share, float64(c.Slots)) && m.long+1 <= quota(m.share, m.slots)
+}
+
+// slow reports whether c is to get only probes.
+func slow(c *fleet.Candidate) bool { return c.Weight < sluggish && !c.Cold }
+
+// probe returns the index of a slow endpoint that is due for a probe, or -1.
+// Requests that were tried before or have waited for long are spared.
+func (t *tanager) probe(a *Ask, m room, found []fleet.Candidate, usable []int) int {
+	if len(a.Avoid) > 0 || a.Waited > a.First/2 {
+		return -1
+	}
+	for _, i := range usable {
+		if found[i].Probe && m.fits(a, &found[i]) {
+			return i
+		}
+	}
+	return -1
+}
+
+// pick returns the index of the endpoint to take out of those that have a slot and
+// are not slow, or -1.
+func (t *tanager) pick(a *Ask, m room, found []fleet.Candidate, usable []int) int {
+	t.open = t.open[:0]
+	for _, i := range usable {
+		if !slow(&found[i]) && m.fits(a, &found[i]) {
+			t.open = append(t.open, i)
+		}
+	}
+	if len(t.open) == 0 {
+		return -1
+	}
+	if a.Prefix != 0 {
+		if i := affine(a.Prefix, m, found, usable, t.open); i >= 0 {
+			return i
+		}
+	}
+	return t.better(found, t.open)
+}
+
+// better draws two candidates by weight and returns the less loaded one.
+func (t *tanager) better(found []fleet.Candidate, open []int) int {
+	total := 0.0
+	for _, i := range open {
+		total += worth(&found[i])
+	}
+	one := draw(found, open, t.random.Float64()*total)
+	two := draw(found, open, t.random.Float64()*total)
+	if burden(&found[two]) < burden(&found[one]) {
+		return two
+	}
+	return one
+}
+
+// draw returns the candidate at the point x of the summed weights.
+func draw(found []fleet.Candidate, open []int, x float64) int {
+	for _, i := range open {
+		x -= worth(&found[i])
+		if x < 0 {
+			return i
+		}
+	}
+	return open[len(open)-1]
+}
+
+// worth returns the slots of c as far as its weight lets it use them.
+func worth(c *fleet.Candidate) float64 { return float64(c.Slots) * c.Weight }
+
+// burden returns the load that c would have for each such slot.
+func burden(c *fleet.Candidate) float64 { return (c.Load + 1) / worth(c) }
+
+// resort returns the index of the endpoint for a request that neither finds a slot
+// here nor is sent away, or -1: one request more than its slots on an engine that
+// runs long work, which gives way to urgent work, or a slow endpoint.
+func (t *tanager) resort(a *Ask, m room, found []fleet.Candidate, usable []int, wait clock.Span) int {
+	if i := squeeze(a, m, found, usable, wait); i >= 0 {
+		return i
+	}
+	if a.Waited < detour*max(a.Size, clock.Second/detour) {
+		return -1
+	}
+	best := -1
+	for _, i := range usable {
+		if m.fits(a, &found[i]) && (best < 0 || burden(&found[i]) < burden(&found[best])) {
+			best = i
+		}
+	}
+	return best
+}
+
+// squeeze returns the index of an endpoint that takes urgent work beyond its slots, or -1.
+func squeeze(a *Ask, m room, found []fleet.Candidate, usable []int, wait clock.Span) int {
+	if m.share < 1 || a.Long || a.Urgency > 0 || wait < a.First/4 {
+		return -1
+	}
+	best := -1
+	for _, i := range usable {
+		c := &found[i]
+		if c.Load > float64(c.Slots) || c.Long < 1 || c.Cold || slow(c) {
+			continue
+		}
+		if best < 0 || burden(c) < burden(&found[best]) {
+			best = i
+		}
+	}
+	return best
+}
