feat(fakes): report prefixes as the entry computes them

The engine double named prompts in load reports by a hash that no entry would compute, so that prefix affinity could not be seen. A prefix is now the xxhash of the first 512 bytes of the encoded messages, as in package entry. go test ./fakes passes.

--- a/fakes/cache.go
+++ b/fakes/cache.go
@@ -3,7 +3,7 @@
 import (
 	"container/list"
 	"encoding/binary"
-	"strings"
+	"encoding/json"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -95,18 +95,14 @@
 }
 
 // headBytes is the length of the first part of a prompt that a prefix covers.
-const headBytes = 256
+const headBytes = 512
 
 // headOf returns the prefix that names a prompt in load reports: the xxhash of
-// the first 256 bytes of its contents, joined by line feeds.
-func headOf(prompt []Message) ident.Prefix {
-	var b strings.Builder
-	for _, m := range prompt {
-		b.WriteString(m.Content + "\n")
-		if b.Len() >= headBytes {
-			break
-		}
+// the first 512 bytes of its encoded messages, joined without a separator.
+func headOf(messages []json.RawMessage) ident.Prefix {
+	var text []byte
+	for _, m := range messages {
+		text = append(text, m...)
 	}
-	text := b.String()
-	return ident.Prefix(xxhash.Sum64String(text[:min(len(text), headBytes)]))
+	return ident.Prefix(xxhash.Sum64(text[:min(len(text), headBytes)]))
 }
--- a/fakes/enginehttp.go
+++ b/fakes/enginehttp.go
@@ -71,8 +71,8 @@
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	request := ident.Request(r.Header.Get(headerRequest))
-	var c Completion
-	if err := json.NewDecoder(io.LimitReader(r.Body, 16<<20)).Decode(&c); err != nil || request == "" {
+	c, head, err := readCompletion(r.Body)
+	if err != nil || request == "" {
 		writeError(w, http.StatusBadRequest, "want a request id and a completion")
 		return
 	}
@@ -80,7 +80,7 @@
 	if e.cfg.Flat {
 		urgency = 0
 	}
-	j := newJob(request, urgency, &c)
+	j := newJob(request, urgency, c, head)
 	if s := e.status(); s != StateReady {
 		e.log.add(request, j.hash, Refused)
 		w.Header().Set(headerState, string(s))
@@ -98,6 +98,25 @@
 	e.collect(r.Context(), w, p, j)
 }
 
+// readCompletion decodes a request and names its prompt for load reports.
+func readCompletion(body io.Reader) (*Completion, ident.Prefix, error) {
+	raw, err := io.ReadAll(io.LimitReader(body, 16<<20))
+	if err != nil {
+		return nil, 0, err
+	}
+	var c Completion
+	if err := json.Unmarshal(raw, &c); err != nil {
+		return nil, 0, err
+	}
+	var encoded struct {
+		Messages []json.RawMessage `json:"messages"`
+	}
+	if err := json.Unmarshal(raw, &encoded); err != nil {
+		return nil, 0, err
+	}
+	return &c, headOf(encoded.Messages), nil
+}
+
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.Atoi(or(r.Header.Get(headerResume), "0"))
 	p := e.current()
--- a/fakes/job.go
+++ b/fakes/job.go
@@ -36,7 +36,7 @@
 	stopOnce  sync.Once
 }
 
-func newJob(request ident.Request, urgency int, c *Completion) *job {
+func newJob(request ident.Request, urgency int, c *Completion, head ident.Prefix) *job {
 	prompt, already := c.Prompt()
 	var text strings.Builder
 	for _, m := range c.Messages {
@@ -44,7 +44,7 @@
 	}
 	return &job{
 		request: request, urgency: urgency,
-		hash: HashPrompt(prompt), head: headOf(prompt),
+		hash: HashPrompt(prompt), head: head,
 		text: text.String(), words: strings.Fields(text.String()),
 		first: already, next: already, total: c.total(),
 		index: -1, cancelled: make(chan struct{}), changed: make(chan struct{}),
