feat(caller): add the client library

Cause: callers need one place that finds an entry and knows when a request may be sent again. Change: Locate asks the known entries and keeps the answer; Complete accepts only whole answers of its own request and restarts broken ones; Call and Resume keep the ticket of a non-idempotent call, replace it only when nothing sent under it can still run, and tell done, not run and unknown apart.

--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,282 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/caller"
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/stream"
+)
+
+// desk is a pair of entries, A and B, that answer as scripted.
+type desk struct {
+	lock    sync.Mutex
+	a, b    *httptest.Server
+	entries []caller.Entry
+	script  []string
+	// log holds "ENTRY TICKET" for each send.
+	log     []string
+	tickets int
+	located int
+}
+
+// newDesk starts both entries. Each word of the script answers one send. Locate
+// gives tickets only if ticketed is set.
+func newDesk(t *testing.T, script string, ticketed bool) *desk {
+	t.Helper()
+	d := &desk{script: strings.Fields(script)}
+	serve := func(name string) *httptest.Server {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			d.lock.Lock()
+			defer d.lock.Unlock()
+			w.Header().Set(caller.HeaderRequest, r.Header.Get(caller.HeaderRequest))
+			if r.URL.Path == caller.PathLocate {
+				d.locate(w, name, ticketed && r.URL.Query().Get("call") != "")
+				return
+			}
+			d.answer(w, r, name)
+		}))
+		t.Cleanup(s.Close)
+		return s
+	}
+	d.a, d.b = serve("A"), serve("B")
+	d.entries = []caller.Entry{{Name: "A", Address: address(d.a)}, {Name: "B", Address: address(d.b)}}
+	return d
+}
+
+func address(s *httptest.Server) string { return s.Listener.Addr().String() }
+
+func (d *desk) locate(w http.ResponseWriter, name string, ticketed bool) {
+	d.located++
+	l := caller.Location{Entries: d.entries, Validity: clock.Minute}
+	if ticketed {
+		l.Ticket = d.ticket(name)
+	}
+	_ = json.NewEncoder(w).Encode(l)
+}
+
+func (d *desk) ticket(name string) string {
+	d.tickets++
+	return fmt.Sprintf("%s%d", name, d.tickets)
+}
+
+func (d *desk) answer(w http.ResponseWriter, r *http.Request, name string) {
+	d.log = append(d.log, strings.TrimSpace(name+" "+r.Header.Get(caller.HeaderTicket)))
+	word := "ok"
+	if len(d.script) > 0 {
+		word, d.script = d.script[0], d.script[1:]
+	}
+	switch word {
+	case "ok":
+		w.Header().Set(caller.HeaderRan, string(caller.RanYes))
+		_, _ = w.Write([]byte("placed"))
+	case "own503": // the service's own answer
+		w.Header().Set(caller.HeaderRan, string(caller.RanYes))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case "crossed":
+		w.Header().Set(caller.HeaderRequest, "other")
+	case "cut":
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("pla"))
+	case "drop":
+		panic(http.ErrAbortHandler)
+	default:
+		d.refuse(w, name, word)
+	}
+}
+
+// refuse answers with a refusal written as STATUS/REASON/RAN and "+ticket" or "+B".
+func (d *desk) refuse(w http.ResponseWriter, name, word string) {
+	word, extra, _ := strings.Cut(word, "+")
+	var status int
+	parts := strings.Split(word, "/")
+	_, _ = fmt.Sscan(parts[0], &status)
+	e := caller.Envelope{Error: caller.Refusal{Kind: caller.Reason(parts[1]), Ran: caller.Ran(parts[2])}}
+	switch extra {
+	case "ticket":
+		e.Error.Ticket = d.ticket(name)
+	case "B":
+		e.Error.Entries = d.entries[1:]
+	}
+	w.Header().Set(caller.HeaderRan, parts[2])
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(e)
+}
+
+func (d *desk) client(t *testing.T, waits *[]clock.Span) *caller.Client {
+	t.Helper()
+	c, err := caller.New(caller.Config{
+		Entries: []string{address(d.a), address(d.b)}, Service: "orders", Seed: 1, Clock: new(clock.Manual),
+		Sleep: func(_ context.Context, s clock.Span) error {
+			if waits != nil {
+				*waits = append(*waits, s)
+			}
+			return nil
+		},
+	})
+	require.NoError(t, err)
+	return c
+}
+
+// Guards against an order that is placed twice, and against an outcome that is
+// reported as done or not run while that isn't certain.
+func TestCallOutcome(t *testing.T) {
+	for name, c := range map[string]struct {
+		script string
+		log    string
+		state  caller.State
+		kind   caller.Kind
+	}{
+		"answered":                 {"ok", "A A1", caller.Done, ""},
+		"the service's own 503":    {"own503", "A A1", caller.Done, ""},
+		"broken, same ticket":      {"drop ok", "A A1,A A1", caller.Done, ""},
+		"cut answer, same ticket":  {"cut ok", "A A1,A A1", caller.Done, ""},
+		"crossed, same ticket":     {"crossed ok", "A A1,A A1", caller.Done, ""},
+		"broken twice, then other": {"drop drop ok", "A A1,A A1,B A1", caller.Done, ""},
+		"voided by the other":      {"drop drop 410/void/no+ticket ok", "A A1,A A1,B A1,B B2", caller.Done, ""},
+		"fresh ticket asked for":   {"410/expired/no ok", "A A1,A A2", caller.Done, ""},
+		"running at the owner":     {"421/owner/unknown+B ok", "A A1,B A1", caller.Done, ""},
+		"other region":             {"421/region/no+B 410/void/no+ticket ok", "A A1,B A1,B B2", caller.Done, ""},
+		"draining":                 {"503/draining/no 410/void/no+ticket ok", "A A1,B A1,B B2", caller.Done, ""},
+		"answer gone":              {"409/gone/yes", "A A1", caller.Done, caller.Gone},
+		"refused for good":         {"413/body/no", "A A1", caller.NotRun, caller.Refused},
+		"always overloaded":        {strings.Repeat("503/overload/no ", 6), "A A1,B A1,A A1,B A1,A A1,B A1", caller.NotRun, caller.Refused},
+		"unknown":                  {strings.Repeat("504/unknown/unknown ", 6), "A A1,B A1,A A1,B A1,A A1,B A1", caller.Unknown, caller.Unresolved},
+		"refused while in doubt":   {"drop 413/body/no", "A A1,A A1", caller.Unknown, caller.Unresolved},
+		"ticket while in doubt":    {"drop 503/overload/no+ticket ok", "A A1,A A1,B A1", caller.Done, ""},
+		"header and body disagree": {"503/overload/maybe 413/body/no", "A A1,B A1", caller.Unknown, caller.Unresolved},
+		"void, but perhaps run":    {"410/void/unknown+ticket 413/body/no", "A A1,B A1", caller.Unknown, caller.Unresolved},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t, c.script, true)
+			out, err := d.client(t, nil).Call(t.Context(), http.MethodPost, "/orders?x=1", []byte(`{}`))
+			require.Equal(t, c.state, out.State, "%v", err)
+			require.Equal(t, c.log, strings.Join(d.log, ","))
+			require.Equal(t, c.kind, kindOf(err), "%v", err)
+			if c.kind == "" && out.Status == http.StatusOK {
+				require.Equal(t, "placed", string(out.Body))
+			}
+		})
+	}
+}
+
+func kindOf(err error) caller.Kind {
+	if e, ok := err.(*caller.Error); ok { //nolint:errorlint // the outermost kind is meant
+		return e.Kind
+	}
+	return ""
+}
+
+// Guards against an order sent without a ticket being given up, and against a
+// needless ticket for a lookup.
+func TestCallWithoutTicket(t *testing.T) {
+	d := newDesk(t, "428/ticket/no+ticket ok", false)
+	out, err := d.client(t, nil).Call(t.Context(), http.MethodPost, "/orders", nil)
+	require.NoError(t, err)
+	require.Equal(t, "A1", out.Ticket)
+	require.Equal(t, []string{"A", "A A1"}, d.log)
+
+	d = newDesk(t, "drop ok", true)
+	_, err = d.client(t, nil).Call(t.Context(), http.MethodGet, "/stock", nil)
+	require.NoError(t, err)
+	require.Equal(t, []string{"A", "B"}, d.log)
+}
+
+// Guards against a resumed order that runs under a second ticket because of a
+// refusal that says nothing about the first.
+func TestResume(t *testing.T) {
+	d := newDesk(t, "503/unready/no+ticket ok", true)
+	out, err := d.client(t, nil).Resume(t.Context(), "old", http.MethodPost, "/orders", nil)
+	require.NoError(t, err)
+	require.Equal(t, caller.Done, out.State)
+	require.Equal(t, []string{"A old", "B old"}, d.log)
+}
+
+// Guards against "unknown" for a call that can't have reached anyone.
+func TestUnreachable(t *testing.T) {
+	d := newDesk(t, "", true)
+	c := d.client(t, nil)
+	d.a.Close()
+	d.b.Close()
+	out, err := c.Call(t.Context(), http.MethodPost, "/orders", nil)
+	require.Equal(t, caller.NotRun, out.State)
+	require.Equal(t, caller.Unreachable, kindOf(err))
+}
+
+// Guards against sends that come sooner than the entry asked for.
+func TestRetryAfter(t *testing.T) {
+	var waits []clock.Span
+	d := newDesk(t, "drop ok", true)
+	_, err := d.client(t, &waits).Call(t.Context(), http.MethodPost, "/orders", nil)
+	require.NoError(t, err)
+	require.Len(t, waits, 1)
+	require.Less(t, waits[0], clock.Second)
+
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(caller.HeaderRequest, r.Header.Get(caller.HeaderRequest))
+		w.Header().Set(caller.HeaderRan, "no")
+		w.Header().Set("Retry-After", "7")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer s.Close()
+	d.entries = []caller.Entry{{Name: "C", Address: address(s)}}
+	waits = nil
+	_, err = d.client(t, &waits).Call(t.Context(), http.MethodGet, "/stock", nil)
+	require.Equal(t, caller.Refused, kindOf(err))
+	require.Equal(t, []clock.Span{7000, 7000, 7000, 7000, 7000}, waits)
+}
+
+// Guards against asking for every request, and against using an entry that failed.
+func TestLocateCache(t *testing.T) {
+	var now clock.Manual
+	d := newDesk(t, "", false)
+	c, err := caller.New(caller.Config{Entries: []string{address(d.a), address(d.b)}, Service: "s", Clock: &now})
+	require.NoError(t, err)
+	for range 3 {
+		_, err := c.Locate(t.Context(), "")
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, d.located)
+	now.Advance(clock.Minute)
+	d.a.Close()
+	l, err := c.Locate(t.Context(), "")
+	require.NoError(t, err)
+	require.Equal(t, 2, d.located)
+	require.Equal(t, d.entries, l.Entries)
+}
+
+func ExampleClient_Complete() {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(caller.HeaderRequest)
+		w.Header().Set(caller.HeaderRequest, id)
+		if r.URL.Path == caller.PathLocate {
+			_, _ = fmt.Fprintf(w, `{"entries":[{"name":"e1","address":%q}],"validity":1000}`, r.Host)
+			return
+		}
+		data := stream.AppendChunk(nil, ident.Request(id), "Three metres.", "stop")
+		_ = stream.Write(w, stream.Event{ID: 1, Data: data})
+		_ = stream.Write(w, stream.Event{Done: true})
+	}))
+	defer s.Close()
+	c, err := caller.New(caller.Config{Entries: []string{s.Listener.Addr().String()}, Service: "assistant"})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	prompt := caller.Prompt{Messages: []caller.Message{{Role: "user", Content: "How wide?"}}}
+	answer, err := c.Complete(context.Background(), prompt, caller.Sink{Token: func(t string) { fmt.Println(t) }})
+	fmt.Println(answer.Tokens, answer.Finish, answer.Attempts, err)
+	// Output:
+	// Three metres.
+	// 1 stop 1 <nil>
+}
