--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,54 @@
+package budget_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tanagerbridge/tanagerbridge/budget"
+	"github.com/tanagerbridge/tanagerbridge/clock"
+)
+
+// Guards against rounding that costs a retry, and against saving up beyond the burst.
+func TestRetry(t *testing.T) {
+	r := budget.NewRetry(0.1, 2)
+	require.True(t, r.Take())
+	require.True(t, r.Take())
+	require.False(t, r.Take())
+	for range 10 {
+		r.First()
+	}
+	require.True(t, r.Take())
+	require.False(t, r.Take())
+}
+
+// Guards against more retries than the share of first tries plus the burst.
+func TestRetryBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := budget.NewRetry(0.1, 3)
+		firsts, retries := 0, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "first") {
+				r.First()
+				firsts++
+			} else if r.Take() {
+				retries++
+			}
+		}
+		require.LessOrEqual(t, float64(retries), 3+0.1*float64(firsts)+1e-6)
+	})
+}
+
+// Guards against a link that passes more than its rate, never passes a large
+// message, or forgets what answers cost.
+func TestLink(t *testing.T) {
+	l := budget.NewLink(1000, 500)
+	require.True(t, l.Take(1, 500))
+	require.False(t, l.Take(1, 1))
+	require.True(t, l.Take(101, 100))
+	require.True(t, l.Allows(10_000, 5000), "a full bucket lets a large message pass")
+	l.Spent(10_000, 1500)
+	require.False(t, l.Allows(10_000+clock.Time(clock.Second), 1))
+	require.True(t, l.Allows(10_000+2*clock.Time(clock.Second), 500))
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,284 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fleet"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/news"
+	"github.com/tanagerbridge/tanagerbridge/watch"
+)
+
+const (
+	service ident.Service = "assistant"
+	region  ident.Region  = "dk-east"
+)
+
+func instance(n int) watch.Instance {
+	return watch.Instance{
+		Name: fmt.Sprint("e", n), Role: watch.RoleEndpoint, Region: region, State: watch.StateLive,
+		Address: fmt.Sprint("127.0.0.1:", 1000+n), Service: service, Slots: 8,
+	}
+}
+
+func list(n int) []watch.Instance {
+	var l []watch.Instance
+	for i := range n {
+		l = append(l, instance(i))
+	}
+	return l
+}
+
+func newFleet(n int) *fleet.Fleet {
+	f := fleet.New(fleet.Config{Region: region, Seed: 1})
+	f.Sync(1, list(n))
+	return f
+}
+
+func names(f *fleet.Fleet, now clock.Time) []string {
+	found := []string{}
+	for _, c := range f.Candidates(now, service, region) {
+		found = append(found, string(c.Endpoint))
+	}
+	return found
+}
+
+func begin(f *fleet.Fleet, now clock.Time, request string, e int, long bool) {
+	f.Begin(now, fleet.Attempt{
+		Request: ident.Request(request), Try: 1, Endpoint: ident.Endpoint(fmt.Sprint("e", e)),
+		Service: service, Long: long, Size: 1000,
+	})
+}
+
+var ready = fleet.Report{State: fleet.ConditionReady}
+
+// Guards against own attempts that are counted twice, once here and once in the report.
+func TestLoadCorrectsLaggedReport(t *testing.T) {
+	f := newFleet(1)
+	begin(f, 1000, "a", 0, false)
+	begin(f, 1000, "b", 0, true)
+	begin(f, 1900, "c", 0, true)
+	f.Report(2000, "e0", fleet.Report{Age: 500, State: fleet.ConditionReady, Running: 4, Waiting: 1})
+	c := f.Candidates(2000, service, region)[0]
+	require.InDelta(t, 6.0, c.Load, 1e-9, "3 own and 3 of others")
+	require.InDelta(t, 5.0, c.Reported, 1e-9)
+	require.InDelta(t, 4.0, c.Long, 1e-9, "2 own and two thirds of 3")
+	f.End(2100, "a", 1, fleet.Complete, 10)
+	require.InDelta(t, 5.0, f.Candidates(2100, service, region)[0].Load, 1e-9)
+}
+
+// Guards against work for endpoints that can't take it, by each source of that knowledge.
+func TestStates(t *testing.T) {
+	tests := map[string]struct {
+		act  func(f *fleet.Fleet)
+		want fleet.State
+	}{
+		"refusal":        {func(f *fleet.Fleet) { f.Depart(100, "e0") }, fleet.Leaving},
+		"report leaving": {func(f *fleet.Fleet) { f.Report(100, "e0", fleet.Report{State: fleet.ConditionLeaving}) }, fleet.Leaving},
+		"loading":        {func(f *fleet.Fleet) { f.Report(100, "e0", fleet.Report{State: fleet.ConditionLoading}) }, fleet.Loading},
+		"news":           {func(f *fleet.Fleet) { f.Hear(100, []news.Departure{{Endpoint: "e0", Age: 5}}) }, fleet.Leaving},
+		"list": {func(f *fleet.Fleet) {
+			i := instance(0)
+			i.State = watch.StateLeaving
+			f.Sync(100, []watch.Instance{i})
+		}, fleet.Leaving},
+		"stays leaving": {func(f *fleet.Fleet) {
+			f.Depart(100, "e0")
+			f.Report(200, "e0", ready)
+			f.Sync(300, list(1))
+		}, fleet.Leaving},
+		"missed twice": {func(f *fleet.Fleet) { f.Missed(100, "e0"); f.Missed(200, "e0") }, fleet.Live},
+		"missed":       {func(f *fleet.Fleet) { f.Missed(100, "e0"); f.Missed(200, "e0"); f.Missed(300, "e0") }, fleet.Down},
+		"unreachable": {func(f *fleet.Fleet) {
+			begin(f, 100, "a", 0, false)
+			f.End(110, "a", 1, fleet.Unreachable, 0)
+		}, fleet.Down},
+		"back": {func(f *fleet.Fleet) { f.Crashed(100, "e0"); f.Report(300, "e0", ready) }, fleet.Live},
+		"report from before crash": {func(f *fleet.Fleet) {
+			f.Crashed(100, "e0")
+			f.Report(300, "e0", fleet.Report{Age: 250, State: fleet.ConditionReady})
+		}, fleet.Down},
+		"new instance of that name": {func(f *fleet.Fleet) {
+			f.Depart(100, "e0")
+			i := instance(0)
+			i.Address = "127.0.0.1:9"
+			f.Sync(200, []watch.Instance{i})
+		}, fleet.Live},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1)
+			tt.act(f)
+			require.Equal(t, tt.want, f.State("e0"))
+			require.Equal(t, tt.want == fleet.Live, len(names(f, 400)) == 1)
+		})
+	}
+}
+
+// Guards against an endpoint that a stale list drops although it answers, and against
+// one that stays although it is gone.
+func TestMissingFromList(t *testing.T) {
+	f := newFleet(2)
+	begin(f, 10, "a", 0, false)
+	for now := clock.Time(1000); now <= 60_000; now += 1000 {
+		f.Report(now, "e0", ready)
+		f.Sync(now, list(0))
+	}
+	require.Equal(t, []string{"e0"}, names(f, 60_500), "e1 never answered")
+	f.Sync(62_000, nil)
+	require.Empty(t, names(f, 62_000))
+	f.Sync(63_000, list(1))
+	require.Equal(t, 1, f.Candidates(63_000, service, region)[0].Mine, "the attempt is still accounted")
+}
+
+// Guards against old news about the predecessor of an instance, and against news
+// that comes before the list names the endpoint and is lost.
+func TestHear(t *testing.T) {
+	f := newFleet(1)
+	i := instance(0)
+	i.Address = "127.0.0.1:9"
+	f.Sync(1000, []watch.Instance{i})
+	require.False(t, f.Hear(1100, []news.Departure{{Endpoint: "e0", Age: 500}}))
+	require.True(t, f.Hear(1100, []news.Departure{{Endpoint: "e1", Age: 500}}))
+	require.False(t, f.Hear(1200, []news.Departure{{Endpoint: "e1", Age: 600}}))
+	f.Sync(2000, list(2))
+	require.Equal(t, fleet.Leaving, f.State("e1"))
+	require.Equal(t, []news.Departure{{Endpoint: "e1", Age: 1400}}, f.Departures(2000)[:1])
+}
+
+// Guards against full load on cold caches, and against a loss that repeats.
+func TestCrashAndSlowStart(t *testing.T) {
+	f := newFleet(4)
+	begin(f, 100, "a", 1, false)
+	begin(f, 200, "b", 1, true)
+	lost := f.Crashed(300, "e1")
+	require.Len(t, lost, 2)
+	require.Equal(t, ident.Request("a"), lost[0].Request)
+	require.Empty(t, f.Crashed(301, "e1"))
+	f.Report(1000, "e1", ready)
+	steps := []struct {
+		now    clock.Time
+		slots  int
+		weight float64
+		cold   bool
+	}{{1000, 1, 0.1, true}, {6000, 5, 0.55, true}, {11_000, 8, 1, false}}
+	for _, s := range steps {
+		c := f.Candidates(s.now, service, region)[1]
+		require.Equal(t, s.slots, c.Slots)
+		require.InDelta(t, s.weight, c.Weight, 1e-9)
+		require.Equal(t, s.cold, c.Cold)
+	}
+}
+
+// run lets each endpoint answer requests one after the other, with a time to the
+// first token by endpoint, and returns the time.
+func run(f *fleet.Fleet, now clock.Time, rounds int, first func(e int) clock.Span, n int) clock.Time {
+	for r := range rounds {
+		for e := range n {
+			name := fmt.Sprint(now, "-", r, "-", e)
+			begin(f, now, name, e, false)
+			f.First(now.Add(first(e)), ident.Request(name), 1)
+			f.End(now.Add(10*first(e)), ident.Request(name), 1, fleet.Complete, 50)
+		}
+		now = now.Add(1000)
+	}
+	return now
+}
+
+// Guards against slow endpoints that keep their share, too many removed ones, and
+// removal of the wrong ones.
+func TestSlowWeights(t *testing.T) {
+	tests := map[string]struct {
+		n, slow, removed int
+		factor           clock.Span
+	}{
+		"one of three":        {3, 1, 1, 5},
+		"two of six":          {6, 2, 2, 5},
+		"two of four":         {4, 2, 1, 5},
+		"one of two":          {2, 1, 0, 5},
+		"a little slower":     {6, 1, 0, 1},
+		"a third at the most": {9, 4, 3, 5},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(tt.n)
+			now := run(f, 1000, 8, func(e int) clock.Span {
+				if e < tt.slow {
+					return 100 * tt.factor
+				}
+				return 100
+			}, tt.n)
+			removed := 0
+			for i, c := range f.Candidates(now, service, region) {
+				if c.Weight < 1 {
+					removed++
+					require.Less(t, i, tt.slow)
+					require.LessOrEqual(t, c.Weight, 0.05)
+				}
+			}
+			require.Equal(t, tt.removed, removed)
+		})
+	}
+}
+
+// Guards against a slow endpoint that is seen only when its attempts end.
+func TestOverdueAttemptsCount(t *testing.T) {
+	f := newFleet(3)
+	now := run(f, 1000, 5, func(int) clock.Span { return 100 }, 3)
+	for i := range 3 {
+		begin(f, now, fmt.Sprint("late", i), 1, false)
+	}
+	require.InDelta(t, 1.0, f.Candidates(now, service, region)[1].Weight, 1e-9)
+	require.Less(t, f.Candidates(now+600, service, region)[1].Weight, 0.1)
+}
+
+// Guards against a single straggler that makes its endpoint look slow.
+func TestStragglerDoesNotCount(t *testing.T) {
+	f := newFleet(3)
+	now := run(f, 1000, 5, func(int) clock.Span { return 100 }, 3)
+	begin(f, now, "straggler", 1, false)
+	f.First(now+100, "straggler", 1)
+	require.InDelta(t, 1.0, f.Candidates(now+60_000, service, region)[1].Weight, 1e-9)
+}
+
+// Guards against slow tokens that are seen only at the end, and against a slow
+// endpoint that never recovers.
+func TestProgressAndRecovery(t *testing.T) {
+	f := newFleet(3)
+	now := run(f, 1000, 5, func(int) clock.Span { return 100 }, 3)
+	begin(f, now, "slow", 1, false)
+	f.First(now+100, "slow", 1)
+	for i := range 6 {
+		f.Progress(now+100+clock.Time(i+1)*1000, "slow", 1, ident.Tokens(1+(i+1)*8))
+	}
+	now += 7000
+	require.False(t, f.Candidates(now, service, region)[1].Probe)
+	require.Less(t, f.Candidates(now, service, region)[1].Weight, 0.5)
+	f.End(now, "slow", 1, fleet.Cancelled, 49)
+	probes := 0
+	for range 100 {
+		now += 1000
+		c := f.Candidates(now, service, region)[1]
+		if c.Weight == 1 {
+			break
+		}
+		if c.Probe {
+			probes++
+			run(f, now, 1, func(int) clock.Span { return 100 }, 3)
+		}
+	}
+	require.InDelta(t, 1.0, f.Candidates(now, service, region)[1].Weight, 1e-9)
+	require.LessOrEqual(t, probes, 5)
+}
+
+// Guards against a summary that offers slots of endpoints that can't take work.
+func TestLoads(t *testing.T) {
+	f := newFleet(3)
+	f.Depart(10, "e2")
+	begin(f, 10, "a", 0, false)
+	require.Equal(t, []news.Load{{Region: region, Service: service, Slots: 16, Free: 15}}, f.Loads(20))
+}
--- a/route/away.go
+++ b/route/away.go
@@ -210,7 +210,8 @@
 }
 
 // elsewhere places a request for which the entry's region has no endpoint: first in
-// regions whose summary shows room, then in any with a slot by this entry's own count.
+// regions whose summary shows room, then in those of which nothing is known, or in any
+// if the request is late, with a slot by this entry's own count.
 func (t *tanager) elsewhere(now clock.Time, a *Ask, v View, avoid bool) (Choice, bool) {
 	for _, r := range a.Regions {
 		if _, ok := t.offer(now, a, v, r); !ok {
@@ -221,7 +222,7 @@
 		}
 	}
 	for _, r := range a.Regions {
-		if r == v.Region() || !v.Link(r, a.Bytes) {
+		if r == v.Region() || !v.Link(r, a.Bytes) || t.full(a, v, r) {
 			continue
 		}
 		if c, ok := t.remote(now, a, v, r, avoid); ok {
@@ -230,3 +231,10 @@
 	}
 	return Choice{}, false
 }
+
+// full reports whether a request that has to go to region r should wait for room
+// there: the region has told lately that there was none, and the request is not late.
+func (t *tanager) full(a *Ask, v View, r ident.Region) bool {
+	l, ok := v.Remote(a.Service, r)
+	return ok && l.Age <= stale && a.Waited < a.First/2
+}
--- a/route/pick.go
+++ b/route/pick.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// alone places a suspect on an endpoint that runs nothing. If a region has none, it
-// keeps its least loaded endpoint free, so that the suspect's turn comes.
+// alone places a suspect on an endpoint that runs nothing. If no region has one, it
+// keeps an endpoint of the first region free, so that the suspect's turn comes.
 func (p *picker) alone(now clock.Time, a *Ask, v View) (Choice, bool) {
 	avoid := avoids(a, v)
 	var choice Choice
@@ -96,49 +96,58 @@
 			return false
 		}
 		found := v.Candidates(a.Service, r)
-		i := p.idle(now, a, r, found, avoid)
-		if i < 0 {
+		i := emptiest(a, found, avoid)
+		if i < 0 || !empty(&found[i]) || crowded(found) {
 			return false
 		}
+		delete(p.holds, place{a.Service, r})
 		choice = Choice{Endpoint: found[i].Endpoint, Region: r, Away: r != v.Region()}
 		ok = true
 		return true
 	})
+	if !ok {
+		p.reserve(now, a, v, avoid)
+	}
 	return choice, ok
 }
 
-// idle returns the index of an idle candidate for a suspect, or -1. At most a third
-// of the endpoints, and at least one, run suspects at the same time.
-func (p *picker) idle(now clock.Time, a *Ask, r ident.Region, found []fleet.Candidate, avoid bool) int {
+// reserve keeps the least loaded endpoint free in the first region that has one, and
+// goes on with the endpoint that it keeps there already.
+func (p *picker) reserve(now clock.Time, a *Ask, v View, avoid bool) {
+	regions(a, v, func(r ident.Region) bool {
+		found := v.Candidates(a.Service, r)
+		i := emptiest(a, found, avoid)
+		if i < 0 {
+			return false
+		}
+		if crowded(found) {
+			return true
+		}
+		at := place{a.Service, r}
+		h := p.holds[at]
+		if !now.Before(h.until) || !contains(found, h.endpoint) {
+			h.endpoint = found[i].Endpoint
+		}
+		h.until = now.Add(reserve)
+		p.holds[at] = h
+		return true
+	})
+}
+
+// crowded reports whether as many suspects run in a region as may: at most on a third
+// of the endpoints, and at least on one.
+func crowded(found []fleet.Candidate) bool {
 	running := 0
 	for i := range found {
 		if found[i].Alone {
 			running++
 		}
 	}
-	if running >= max(1, len(found)/3) {
-		return -1
-	}
-	at := place{a.Service, r}
-	best := p.emptiest(a, found, avoid)
-	if best < 0 {
-		return -1
-	}
-	if empty(&found[best]) {
-		delete(p.holds, at)
-		return best
-	}
-	h := p.holds[at]
-	if !now.Before(h.until) || !contains(found, h.endpoint) {
-		h.endpoint = found[best].Endpoint
-	}
-	h.until = now.Add(reserve)
-	p.holds[at] = h
-	return -1
+	return running >= max(1, len(found)/3)
 }
 
 // emptiest returns the index of the candidate with the least load, or -1.
-func (p *picker) emptiest(a *Ask, found []fleet.Candidate, avoid bool) int {
+func emptiest(a *Ask, found []fleet.Candidate, avoid bool) int {
 	best := -1
 	for i := range found {
 		c := &found[i]
