feat(cmd): add standin, which runs the doubles in processes of their own

Tests with real processes, and people who try the daemon by hand, need the systems around it outside the process.

--- /dev/null
+++ b/cmd/standin.go
@@ -0,0 +1,152 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fakes"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// standIn is a test double in a process of its own.
+type standIn interface {
+	Start() error
+	Close()
+	Address() string
+}
+
+// standInLine is what a stand-in writes to its output once it listens.
+type standInLine struct {
+	Kind string `json:"kind"`
+	// Address takes the protocol of the stand-in and its controls.
+	Address string `json:"address"`
+	// Links are the links of a link stand-in.
+	Links []fakes.ProxyLink `json:"links,omitempty"`
+}
+
+func standinCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "run a test double: an engine, a plain service, the platform or a link between regions",
+		Description: "Each double writes one JSON line with its address once it listens, and runs until SIGTERM\n" +
+			"or SIGINT. GET /control shows its account; POST /control (JSON) sets faults.",
+		Commands: []*cli.Command{engineStandIn(), serviceStandIn(), platformStandIn(), linkStandIn()},
+	}
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address (IP:PORT); port 0 lets the system choose"}
+}
+
+func endpointFlags(slots int) []cli.Flag {
+	return []cli.Flag{
+		listenFlag(),
+		&cli.StringFlag{Name: "name", Usage: "name of the endpoint", Required: true},
+		&cli.StringFlag{Name: "region", Usage: "region of the endpoint", Required: true},
+		&cli.IntFlag{Name: "slots", Value: slots, Usage: "how many requests run at once"},
+		&cli.DurationFlag{Name: "lag", Value: time.Second, Usage: "age of load reports"},
+	}
+}
+
+func engineStandIn() *cli.Command {
+	return &cli.Command{
+		Name:  "engine",
+		Usage: "a model engine with continuous batching, a prefix cache and resumable streams",
+		Flags: append(
+			endpointFlags(8),
+			&cli.DurationFlag{Name: "gap", Value: 20 * time.Millisecond, Usage: "time between tokens"},
+			&cli.DurationFlag{Name: "prefill", Value: 250 * time.Microsecond, Usage: "time per prompt token that is not cached"},
+			&cli.IntFlag{Name: "memory", Value: 4096, Usage: "blocks of 16 tokens that the prefix cache holds"},
+			&cli.DurationFlag{Name: "loading", Usage: "how long the engine loads after each start"},
+			&cli.DurationFlag{Name: "reboot", Usage: "when the engine is back after a request crashed it; 0 means never"},
+			&cli.BoolFlag{Name: "flat", Usage: "ignore priorities"},
+		),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runStandIn(ctx, c, fakes.NewEngine(fakes.EngineConfig{
+				Name: ident.Endpoint(c.String("name")), Region: ident.Region(c.String("region")),
+				Listen: c.String("listen"), Slots: c.Int("slots"), Lag: clock.Of(c.Duration("lag")),
+				Gap: c.Duration("gap"), Prefill: c.Duration("prefill"), Memory: c.Int("memory"),
+				Load: clock.Of(c.Duration("loading")), Reboot: clock.Of(c.Duration("reboot")), Flat: c.Bool("flat"),
+			}))
+		},
+	}
+}
+
+func serviceStandIn() *cli.Command {
+	return &cli.Command{
+		Name:  "service",
+		Usage: "a plain service with GET /stock and POST /orders",
+		Flags: append(
+			endpointFlags(16),
+			&cli.DurationFlag{Name: "latency", Value: 20 * time.Millisecond, Usage: "time that one call takes"},
+		),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runStandIn(ctx, c, fakes.NewService(fakes.ServiceConfig{
+				Name: ident.Endpoint(c.String("name")), Region: ident.Region(c.String("region")),
+				Listen: c.String("listen"), Slots: c.Int("slots"), Lag: clock.Of(c.Duration("lag")),
+				Latency: c.Duration("latency"),
+			}))
+		},
+	}
+}
+
+func platformStandIn() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "the configuration service and the list of instances; both are filled by POST /control",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.Float64Flag{Name: "rate", Value: 2000, Usage: "calls a second over all readers"},
+			&cli.DurationFlag{Name: "lag", Usage: "age of the list of instances"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runStandIn(ctx, c, fakes.NewPlatform(fakes.PlatformConfig{
+				Listen: c.String("listen"), Rate: c.Float64("rate"), Lag: clock.Of(c.Duration("lag")),
+			}))
+		},
+	}
+}
+
+func linkStandIn() *cli.Command {
+	return &cli.Command{
+		Name:  "link",
+		Usage: "TCP proxies over one pair of paths with delay, bandwidth and cuts",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringSliceFlag{Name: "target", Usage: "address (IP:PORT) to lead to; may be repeated"},
+			&cli.DurationFlag{Name: "delay", Value: 52 * time.Millisecond, Usage: "one-way delay"},
+			&cli.Int64Flag{Name: "rate", Value: 12_500_000, Usage: "bytes a second each way; 0 means unlimited"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			path := fakes.PathConfig{Delay: c.Duration("delay"), Rate: ident.Bytes(c.Int64("rate"))}
+			return runStandIn(ctx, c, fakes.NewProxy(fakes.ProxyConfig{
+				Listen: c.String("listen"), Targets: c.StringSlice("target"), Forth: path, Back: path,
+			}))
+		},
+	}
+}
+
+// runStandIn runs a double until a signal or the end of ctx.
+func runStandIn(ctx context.Context, c *cli.Command, s standIn) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	defer s.Close()
+	if err := s.Start(); err != nil {
+		return err
+	}
+	line := standInLine{Kind: c.Name, Address: s.Address()}
+	if p, ok := s.(*fakes.Proxy); ok {
+		line.Links = p.Account().Links
+	}
+	if err := json.NewEncoder(c.Root().Writer).Encode(line); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
