fix(caller): follow a call that runs at its owner

Cause: entries answer 421 with ran=yes for a call in progress at the owner of its ticket, and 502 with ran=yes for an endpoint that failed; the client took the first for the service's answer. Change: both are recognised by reason and status; the first is followed, the second is sent again if the call is idempotent.

--- a/caller/call.go
+++ b/caller/call.go
@@ -227,16 +227,20 @@
 		return nil
 	}
 	o.after = retryAfter(r.Header)
-	switch refusal.Ran {
-	case RanYes:
+	if refusal.Ran == RanYes && !o.open(refusal.Kind) {
 		o.out.State = Done
 		return fault.Wrap("call", Gone, error(refusal))
-	case RanUnknown:
-		o.doubt = true
 	}
+	o.doubt = o.doubt || refusal.Ran != RanNo
 	return fault.Wrap("call", Refused, error(refusal))
 }
 
+// open reports whether a call that was run may still get its answer: it is
+// running at the owner of its ticket, or it is idempotent and may be run again.
+func (o *order) open(kind Reason) bool {
+	return kind == ReasonOwner || kind == ReasonEndpoint && o.out.Ticket == ""
+}
+
 // refused decides where the next send goes and under which ticket.
 func (o *order) refused(ctx context.Context, address string, r *Refusal) {
 	o.trip.leave(address, true)
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -148,6 +148,8 @@
 		"running at the owner":     {"421/owner/unknown+B ok", "A A1,B A1", caller.Done, ""},
 		"other region":             {"421/region/no+B 410/void/no+ticket ok", "A A1,B A1,B B2", caller.Done, ""},
 		"draining":                 {"503/draining/no 410/void/no+ticket ok", "A A1,B A1,B B2", caller.Done, ""},
+		"told to run at the owner": {"421/owner/yes+B ok", "A A1,B A1", caller.Done, ""},
+		"endpoint failed":          {"502/endpoint/yes", "A A1", caller.Done, caller.Gone},
 		"answer gone":              {"409/gone/yes", "A A1", caller.Done, caller.Gone},
 		"refused for good":         {"413/body/no", "A A1", caller.NotRun, caller.Refused},
 		"always overloaded":        {strings.Repeat("503/overload/no ", 6), "A A1,B A1,A A1,B A1,A A1,B A1", caller.NotRun, caller.Refused},
@@ -186,6 +188,11 @@
 	require.Equal(t, "A1", out.Ticket)
 	require.Equal(t, []string{"A", "A A1"}, d.log)
 
+	d = newDesk(t, "502/endpoint/yes ok", true)
+	_, err = d.client(t, nil).Call(t.Context(), http.MethodGet, "/stock", nil)
+	require.NoError(t, err)
+	require.Equal(t, []string{"A", "B"}, d.log)
+
 	d = newDesk(t, "drop ok", true)
 	_, err = d.client(t, nil).Call(t.Context(), http.MethodGet, "/stock", nil)
 	require.NoError(t, err)
--- a/caller/refuse.go
+++ b/caller/refuse.go
@@ -7,7 +7,8 @@
 
 // refused returns the Refusal that an entry answered with, or nil if the answer
 // is the service's own. Only entries set HeaderRan to no or unknown. With yes, a
-// refusal is recognised by its reason: the call was run and its answer is missing.
+// refusal is recognised by its reason and status: the call runs at another entry,
+// or it was run and its answer is missing.
 func refused(status int, h http.Header, body []byte) *Refusal {
 	ran := Ran(h.Get(HeaderRan))
 	if ran == "" || status < http.StatusBadRequest {
@@ -19,7 +20,7 @@
 	}
 	r := &e.Error
 	if ran == RanYes {
-		if r.Ran != RanYes || r.Kind != ReasonGone && r.Kind != ReasonEndpoint {
+		if r.Ran != RanYes || !withoutAnswer(status, r.Kind) {
 			return nil
 		}
 		return r
@@ -31,6 +32,20 @@
 	return r
 }
 
+// withoutAnswer reports whether an entry gives this reason for a call that was
+// run or is running.
+func withoutAnswer(status int, kind Reason) bool {
+	switch kind {
+	case ReasonOwner:
+		return status == http.StatusMisdirectedRequest
+	case ReasonEndpoint:
+		return status == http.StatusBadGateway
+	case ReasonGone:
+		return true
+	}
+	return false
+}
+
 // agreed returns what the header and the body say about the execution. Unless
 // both say no, the request may have been run.
 func agreed(header, body Ran) Ran {
