--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -169,7 +169,7 @@
 func (e *endpoint) learn(now clock.Time, r *attempt, o Outcome, tokens ident.Tokens) {
 	switch o {
 	case Unreachable:
-		e.fail(now)
+		e.fail()
 	case Complete:
 		e.slow.closed(r, now, tokens)
 	case Cancelled:
@@ -196,7 +196,7 @@
 
 // crash makes the endpoint down with a cold cache.
 func (e *endpoint) crash(now clock.Time) {
-	e.fail(now)
+	e.fail()
 	e.crashed = now
 	e.others = 0
 	e.load = 0
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -130,13 +130,15 @@
 	}
 	e.state = Leaving
 	e.left = at
+	e.group.changed = true
 }
 
 // fail makes the endpoint down until a good report.
-func (e *endpoint) fail(_ clock.Time) {
+func (e *endpoint) fail() {
 	if e.state != Leaving {
 		e.state = Down
 	}
+	e.group.changed = true
 }
 
 // report takes in a load report.
@@ -155,6 +157,7 @@
 	e.others = max(0, e.load-float64(e.inFlightAt(at)))
 	e.cache(r.Prefixes)
 	e.turn(now, at, r.State)
+	e.group.changed = true
 }
 
 // cache takes in the prefixes that the endpoint holds.
@@ -211,6 +214,7 @@
 
 // note adds the present number of own attempts to the history.
 func (e *endpoint) note(now clock.Time) {
+	e.group.changed = true
 	p := point{at: now, count: len(e.attempts)}
 	if n := len(e.history); n > 0 && e.history[n-1].at == now {
 		e.history[n-1] = p
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -96,6 +96,7 @@
 		for _, e := range g.endpoints {
 			if !listed[e.name] && e.missing == 0 {
 				e.missing = now
+				g.changed = true
 			}
 		}
 	}
@@ -112,6 +113,7 @@
 		e = f.add(now, i)
 	}
 	e.missing = 0
+	e.group.changed = true
 	if i.Slots > 0 && !e.reported {
 		e.slots = i.Slots
 	}
@@ -236,7 +238,7 @@
 	}
 	e.missed++
 	if e.missed >= misses {
-		e.fail(now)
+		e.fail()
 	}
 	if e.over(now) {
 		f.remove(e)
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -83,6 +83,9 @@
 	duration float64
 	// judged is when weights were last computed; 0 if they must be computed anew.
 	judged clock.Time
+	// built is when candidates was made, and changed says that it is out of date.
+	built   clock.Time
+	changed bool
 	// candidates, slow and values are reused.
 	candidates []Candidate
 	slow       []*endpoint
@@ -94,6 +97,7 @@
 	at := sort.Search(len(g.endpoints), func(i int) bool { return g.endpoints[i].name >= e.name })
 	g.endpoints = slices.Insert(g.endpoints, at, e)
 	g.judged = 0
+	g.changed = true
 }
 
 // remove takes e out.
@@ -102,6 +106,7 @@
 		g.endpoints = slices.Delete(g.endpoints, at, at+1)
 	}
 	g.judged = 0
+	g.changed = true
 }
 
 // lasted takes in the duration of a completed attempt.
@@ -124,6 +129,16 @@
 	if g.judged == 0 || now.Sub(g.judged) >= refresh {
 		f.compare(now, g)
 	}
+	if g.changed || g.built != now {
+		g.build(now)
+	}
+	return g.candidates
+}
+
+// build makes the list of candidates anew.
+func (g *group) build(now clock.Time) {
+	g.built = now
+	g.changed = false
 	floor := g.floor(now)
 	share := g.share()
 	g.candidates = g.candidates[:0]
@@ -133,7 +148,6 @@
 		}
 		g.candidates = append(g.candidates, e.candidate(now, floor, share))
 	}
-	return g.candidates
 }
 
 // candidate returns e as a Candidate; floor is the least share of slots while cold
@@ -193,6 +207,7 @@
 // compare updates the weights of g.
 func (f *Fleet) compare(now clock.Time, g *group) {
 	g.judged = now
+	g.changed = true
 	f.medians(g, func(s *slowness) *gauge { return &s.first[0] })
 	f.medians(g, func(s *slowness) *gauge { return &s.first[1] })
 	f.medians(g, func(s *slowness) *gauge { return &s.between })
--- a/queue/band.go
+++ b/queue/band.go
@@ -42,6 +42,8 @@
 	round uint64
 	// passed counts what was taken from more urgent bands since this one's last turn.
 	passed int
+	// mixed says that items of several classes may be in the band.
+	mixed bool
 }
 
 // caller holds what one caller has in a band.
@@ -59,6 +61,11 @@
 // add gives e the next round of its caller. If e has an earlier deadline than
 // others of the caller, it takes the round of the first of them, and they move back.
 func (b *band) add(e *entry) {
+	if len(b.entries) == 0 {
+		b.mixed = false
+	} else if b.entries[0].item.Class != e.item.Class {
+		b.mixed = true
+	}
 	c := b.callers[e.item.Caller]
 	if c == nil {
 		c = &caller{}
--- a/queue/line.go
+++ b/queue/line.go
@@ -120,6 +120,7 @@
 			return true, len(l.taken)-first >= limit
 		case SkipClass:
 			l.skipped = append(l.skipped, e.item.Class)
+			return false, !b.mixed
 		case Stop:
 			stopped = true
 			return false, true
--- a/route/tanager.go
+++ b/route/tanager.go
@@ -162,8 +162,8 @@
 // than one slot, it may hold one, and the region's total keeps the others free.
 func quota(share, n float64) float64 { return max(1, math.Floor(share*n+1e-9)) }
 
-// fits reports whether c has a slot for a.
-func (m *room) fits(a *Ask, c *fleet.Candidate) bool {
+// fits reports whether c has a slot for work of the class that m was made for.
+func (m *room) fits(c *fleet.Candidate) bool {
 	if c.Load+1 > float64(c.Slots) {
 		return false
 	}
@@ -183,7 +183,7 @@
 		return -1
 	}
 	for _, i := range usable {
-		if found[i].Probe && m.fits(a, &found[i]) {
+		if found[i].Probe && m.fits(&found[i]) {
 			return i
 		}
 	}
@@ -195,7 +195,7 @@
 func (t *tanager) pick(a *Ask, m room, found []fleet.Candidate, usable []int) int {
 	t.open = t.open[:0]
 	for _, i := range usable {
-		if !slow(&found[i]) && m.fits(a, &found[i]) {
+		if !slow(&found[i]) && m.fits(&found[i]) {
 			t.open = append(t.open, i)
 		}
 	}
@@ -253,7 +253,7 @@
 	}
 	best := -1
 	for _, i := range usable {
-		if m.fits(a, &found[i]) && (best < 0 || burden(&found[i]) < burden(&found[best])) {
+		if m.fits(&found[i]) && (best < 0 || burden(&found[i]) < burden(&found[best])) {
 			best = i
 		}
 	}
