--- a/bundle/force_test.go
+++ b/bundle/force_test.go
@@ -75,7 +75,7 @@
 // Guards against key texts that lose the key, and against secrets in logs.
 func TestKeyText(t *testing.T) {
 	public, private := newKey(t, "k1")
-	keys, err := bundle.ParsePublicKeys(public.String() + ", " + strings.Replace(public.String(), "k1", "k2", 1))
+	keys, err := bundle.ParseKeys(public.String() + ", " + strings.Replace(public.String(), "k1", "k2", 1))
 	require.NoError(t, err)
 	require.Equal(t, public, keys[0])
 	read, err := bundle.ParsePrivateKey(private.Encode() + "\n")
@@ -83,7 +83,7 @@
 	require.Equal(t, public, read.Public())
 	require.NotContains(t, fmt.Sprintf("%v %+v %s", private, private, private), private.Encode()[3:])
 	for _, text := range []string{"", "k1", "=AAAA", "k1=AAAA", "k1=!", public.String() + "," + public.String()} {
-		_, err := bundle.ParsePublicKeys(text)
+		_, err := bundle.ParseKeys(text)
 		require.Equal(t, bundle.KindKey, fault.KindOf[bundle.Kind](err), text)
 	}
 	_, _, err = bundle.GenerateKey("k 1")
--- a/bundle/key.go
+++ b/bundle/key.go
@@ -58,8 +58,8 @@
 	return PublicKey{id, bytes}, nil
 }
 
-// ParsePublicKeys reads the text "id=base64,id=base64". Ids must differ.
-func ParsePublicKeys(text string) ([]PublicKey, error) {
+// ParseKeys reads the text "id=base64,id=base64". Ids must differ.
+func ParseKeys(text string) ([]PublicKey, error) {
 	var keys []PublicKey
 	for part := range strings.SplitSeq(text, ",") {
 		k, err := ParsePublicKey(part)
