feat(burn): measure the burn rate per service, class and region

Cause: operators need to see how fast a service uses up what its objectives allow, over all entries. Unknown outcomes have a counter of their own.

--- /dev/null
+++ b/burn/burn_test.go
@@ -0,0 +1,166 @@
+package burn_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/burn"
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+var classes = []bundle.Class{{Name: "short", First: 1600, Between: 54}, {Name: "long", First: 8000, Between: 54}}
+
+func meter(name ident.Entry) *burn.Meter { return burn.New(burn.Config{Entry: name, Classes: classes}) }
+
+func sample(first, between clock.Span) burn.Sample {
+	return burn.Sample{
+		Service: "assistant", Class: "short", Region: "dk-east",
+		First: first, Between: between, Wait: first / 2, Good: true, Ran: "yes",
+	}
+}
+
+func failed(ran string) burn.Sample {
+	s := sample(0, 0)
+	s.Good, s.Ran = false, ran
+	return s
+}
+
+func find(t *testing.T, r burn.Report, o burn.Objective) burn.Burn {
+	t.Helper()
+	for _, b := range r.Series[0].Burns {
+		if b.Objective == o {
+			return b
+		}
+	}
+	t.Fatal("no objective " + o)
+	return burn.Burn{}
+}
+
+// Guards against requests that are counted under the wrong objective, and
+// against unknown outcomes that are turned into failures.
+func TestObjectives(t *testing.T) {
+	m := meter("e1")
+	now := clock.Time(clock.Minute)
+	m.Record(now, sample(1600, 54))
+	m.Record(now, sample(1601, 54))
+	m.Record(now, sample(100, 55))
+	m.Record(now, sample(100, 0)) // one token: nothing between tokens
+	m.Record(now, failed("no"))
+	m.Record(now, failed("yes"))
+	m.Record(now, failed("unknown"))
+	gone := failed("yes")
+	gone.Gone = true
+	m.Record(now, gone)
+	r := m.Report(now)
+	require.Equal(t, burn.Tally{Good: 3, Bad: 1}, find(t, r, burn.First).Long)
+	require.Equal(t, burn.Tally{Good: 2, Bad: 1}, find(t, r, burn.Between).Long)
+	require.Equal(t, burn.Tally{Good: 4, Bad: 2}, find(t, r, burn.Available).Long)
+	require.Equal(t, int64(1), r.Series[0].Unknown)
+	require.Equal(t, int64(1), r.Series[0].Gone)
+	require.Equal(t, int64(4), r.Series[0].First.Count())
+}
+
+// Guards against windows that forget too early or never.
+func TestWindows(t *testing.T) {
+	m := meter("e1")
+	start := clock.Time(10 * clock.Minute)
+	for range 95 {
+		m.Record(start, sample(100, 20))
+	}
+	for range 5 {
+		m.Record(start, sample(2000, 20))
+	}
+	b := find(t, m.Report(start), burn.First)
+	require.InDelta(t, 1, b.ShortRate, 1e-9)
+	require.InDelta(t, 0, b.Left, 1e-9)
+	b = find(t, m.Report(start.Add(5*clock.Minute)), burn.First)
+	require.Zero(t, b.Short)
+	require.Equal(t, burn.Tally{Good: 95, Bad: 5}, b.Long)
+	r := m.Report(start.Add(59 * clock.Minute))
+	require.Equal(t, int64(5), find(t, r, burn.First).Long.Bad)
+	r = m.Report(start.Add(60 * clock.Minute))
+	require.Zero(t, find(t, r, burn.First).Long)
+	require.Zero(t, r.Series[0].First.Count())
+}
+
+// Guards against a forecast that doesn't follow from the burn rate.
+func TestExhaustion(t *testing.T) {
+	m := meter("e1")
+	old, now := clock.Time(10*clock.Minute), clock.Time(40*clock.Minute)
+	for range 900 {
+		m.Record(old, sample(100, 20))
+	}
+	require.Equal(t, burn.Never, find(t, m.Report(now), burn.First).Exhaustion)
+	for i := range 100 {
+		m.Record(now, sample(clock.Span(100+2000*(i%10/9)), 20))
+	}
+	b := find(t, m.Report(now), burn.First)
+	require.InDelta(t, 2, b.ShortRate, 1e-9) // 10 of 100, allowed 5
+	require.InDelta(t, 0.8, b.Left, 1e-9)    // 10 of 1000, allowed 50
+	require.InDelta(t, float64(24*clock.Minute), float64(b.Exhaustion), 1)
+}
+
+// Guards against a merged report that differs from what one meter would have
+// counted, as percentiles of percentiles would.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		meters := []*burn.Meter{meter("a"), meter("b"), meter("all")}
+		now := clock.Time(clock.Minute)
+		for _, first := range rapid.SliceOfN(rapid.Int64Range(0, 1_000_000), 0, 50).Draw(t, "first") {
+			now = now.Add(clock.Span(rapid.Int64Range(0, 100_000).Draw(t, "step")))
+			s := sample(clock.Span(first), clock.Span(first%100))
+			s.Good = first%7 > 0
+			s.Service = ident.Service([]string{"x", "y"}[first%2])
+			meters[rapid.IntRange(0, 1).Draw(t, "entry")].Record(now, s)
+			meters[2].Record(now, s)
+		}
+		a, b, all := meters[0].Report(now), meters[1].Report(now), meters[2].Report(now)
+		merged := burn.Merge([]burn.Report{a, b, a})
+		require.Equal(t, []ident.Entry{"a", "b"}, merged.Entries)
+		require.Equal(t, all.Series, merged.Series)
+	})
+}
+
+// Guards against a change of the table or of the JSON that goes unnoticed, and
+// against a missing entry that isn't shown.
+func TestGolden(t *testing.T) {
+	a, b := meter("e1"), meter("e2")
+	now := clock.Time(clock.Minute)
+	for i := range clock.Span(100) {
+		a.Record(now, sample(20*i, 20+i/2))
+		b.Record(now, sample(10*i, 30))
+	}
+	b.Record(now, failed("no"))
+	b.Record(now, failed("unknown"))
+	r := burn.Merge([]burn.Report{
+		b.Report(now), a.Report(now),
+		{Missing: []burn.Missing{{Entry: "127.0.0.1:8081", Cause: "connection refused"}}},
+	})
+	var table bytes.Buffer
+	require.NoError(t, r.Table(&table))
+	golden(t, "table.txt", table.Bytes())
+	text, err := json.MarshalIndent(r, "", " ")
+	require.NoError(t, err)
+	golden(t, "report.json", append(text, '\n'))
+}
+
+func golden(t *testing.T, name string, got []byte) {
+	t.Helper()
+	path := "testdata/" + name
+	if *update {
+		require.NoError(t, os.WriteFile(path, got, 0o600))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, string(want), string(got))
+}
--- /dev/null
+++ b/burn/report.go
@@ -0,0 +1,233 @@
+package burn
+
+import (
+	"slices"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// Never is the value of Burn.Exhaustion while nothing goes wrong.
+const Never clock.Span = -1
+
+// Report is what one or several entries measured.
+type Report struct {
+	// Entries are the entries that the report covers.
+	Entries []ident.Entry `json:"entries"`
+	// Missing are the entries whose report could not be read.
+	Missing []Missing `json:"missing,omitempty"`
+	Series  []Series  `json:"series"`
+}
+
+// Missing is an entry without a report.
+type Missing struct {
+	// Entry is its name, or its address if the name isn't known.
+	Entry string `json:"entry"`
+	Cause string `json:"cause"`
+}
+
+// Series is the report of one service, class and region.
+type Series struct {
+	Service ident.Service `json:"service"`
+	Class   ident.Class   `json:"class"`
+	Region  ident.Region  `json:"region"`
+	Burns   []Burn        `json:"burns"`
+	// Unknown counts requests of the last hour whose outcome can't be found out.
+	Unknown int64 `json:"unknown"`
+	// Gone counts requests of the last hour whose caller went away.
+	Gone int64 `json:"gone"`
+	// First, Between and Wait cover the complete requests of the last hour.
+	First   Buckets `json:"first"`
+	Between Buckets `json:"between"`
+	Wait    Buckets `json:"wait"`
+}
+
+// Burn is the state of one objective.
+type Burn struct {
+	Objective Objective `json:"objective"`
+	// Target is in ms; 0 if the objective isn't a time.
+	Target clock.Span `json:"target"`
+	// Allowed is the share of requests that may be bad.
+	Allowed float64 `json:"allowed"`
+	Short   Tally   `json:"short"`
+	Long    Tally   `json:"long"`
+	// ShortRate and LongRate are the bad share divided by the allowed share. At 1
+	// the budget is just used up at the end of its period.
+	ShortRate float64 `json:"shortrate"`
+	LongRate  float64 `json:"longrate"`
+	// Left is the share of the budget of the long window that is left; it is
+	// negative when more went wrong than allowed.
+	Left float64 `json:"left"`
+	// Exhaustion is the time in ms until the budget is used up at the short rate;
+	// 0 if it is, Never if nothing went wrong lately.
+	Exhaustion clock.Span `json:"exhaustion"`
+}
+
+// Buckets counts times by size. Counts[i] are the values up to 2^(i/2) ms and
+// above the bound before; the last of 40 has no bound. Trailing zeros are left out.
+type Buckets struct {
+	Counts []int64 `json:"counts"`
+	// Sum is in ms.
+	Sum int64 `json:"sum"`
+}
+
+// Count returns the number of values.
+func (b Buckets) Count() int64 {
+	var n int64
+	for _, c := range b.Counts {
+		n += c
+	}
+	return n
+}
+
+// Mean returns the mean in ms, 0 without values.
+func (b Buckets) Mean() float64 {
+	n := b.Count()
+	if n == 0 {
+		return 0
+	}
+	return float64(b.Sum) / float64(n)
+}
+
+// Percentile returns the bound, in ms, of the bucket that holds the value which
+// the share p of all values doesn't exceed; 0 without values.
+func (b Buckets) Percentile(p float64) float64 {
+	n := b.Count()
+	rank := p * float64(n)
+	var seen int64
+	for i, c := range b.Counts {
+		seen += c
+		if c > 0 && float64(seen) >= rank {
+			return bound(i)
+		}
+	}
+	return 0
+}
+
+// plus adds two counts bucket by bucket.
+func (b Buckets) plus(d Buckets) Buckets {
+	sum := Buckets{Counts: make([]int64, max(len(b.Counts), len(d.Counts))), Sum: b.Sum + d.Sum}
+	copy(sum.Counts, b.Counts)
+	for i, c := range d.Counts {
+		sum.Counts[i] += c
+	}
+	return sum
+}
+
+func (b Buckets) trimmed() Buckets {
+	for len(b.Counts) > 0 && b.Counts[len(b.Counts)-1] == 0 {
+		b.Counts = b.Counts[:len(b.Counts)-1]
+	}
+	return b
+}
+
+// Report returns what the meter counted in the windows that end at now.
+func (m *Meter) Report(now clock.Time) Report {
+	r := Report{Entries: []ident.Entry{m.entry}, Series: []Series{}}
+	for _, e := range m.series {
+		e.at(now)
+		r.Series = append(r.Series, m.report(e))
+	}
+	return r
+}
+
+func (m *Meter) report(e *series) Series {
+	long, short := e.counts.sum(minutes), e.counts.sum(shortMinutes)
+	s := Series{
+		Service: e.key.service, Class: e.key.class, Region: e.key.region,
+		Unknown: long.unknown, Gone: long.gone,
+		First:   e.spreads[0].buckets().trimmed(),
+		Between: e.spreads[1].buckets().trimmed(),
+		Wait:    e.spreads[2].buckets().trimmed(),
+	}
+	c := m.class(e.key.class)
+	targets := [len(objectives)]clock.Span{c.First, c.Between, 0}
+	for i, o := range objectives {
+		b := Burn{Objective: o, Target: targets[i], Allowed: allowed(o), Short: short.tallies[i], Long: long.tallies[i]}
+		s.Burns = append(s.Burns, b.derived())
+	}
+	return s
+}
+
+func allowed(o Objective) float64 {
+	if o == Available {
+		return allowedFailed
+	}
+	return allowedLate
+}
+
+// derived fills in what follows from the counts.
+func (b Burn) derived() Burn {
+	b.ShortRate, b.LongRate = b.rate(b.Short), b.rate(b.Long)
+	b.Left = 1 - b.LongRate
+	switch {
+	case b.Left <= 0:
+		b.Exhaustion = 0
+	case b.ShortRate == 0:
+		b.Exhaustion = Never
+	default:
+		b.Exhaustion = clock.Span(b.Left * float64(Long) / b.ShortRate)
+	}
+	return b
+}
+
+func (b Burn) rate(t Tally) float64 {
+	if t.Bad == 0 || b.Allowed <= 0 {
+		return 0
+	}
+	return float64(t.Bad) / float64(t.Good+t.Bad) / b.Allowed
+}
+
+// Merge adds up the reports of several entries. A report of an entry that is
+// already covered is left out, so that nothing counts twice.
+func Merge(reports []Report) Report {
+	sum := Report{Entries: []ident.Entry{}, Series: []Series{}}
+	for _, r := range reports {
+		sum.Missing = append(sum.Missing, r.Missing...)
+		if covered(sum.Entries, r.Entries) {
+			continue
+		}
+		sum.Entries = append(sum.Entries, r.Entries...)
+		for _, s := range r.Series {
+			sum.add(s)
+		}
+	}
+	slices.Sort(sum.Entries)
+	return sum
+}
+
+// covered reports whether one of the entries is among all.
+func covered(all, entries []ident.Entry) bool {
+	return slices.ContainsFunc(entries, func(e ident.Entry) bool { return slices.Contains(all, e) })
+}
+
+func (r *Report) add(s Series) {
+	i, found := slices.BinarySearchFunc(r.Series, s, func(x, y Series) int { return x.key().compare(y.key()) })
+	if !found {
+		s.Burns = slices.Clone(s.Burns)
+		r.Series = slices.Insert(r.Series, i, s)
+		return
+	}
+	r.Series[i] = r.Series[i].plus(s)
+}
+
+func (s Series) key() key { return key{s.Service, s.Class, s.Region} }
+
+func (s Series) plus(t Series) Series {
+	s.Unknown += t.Unknown
+	s.Gone += t.Gone
+	s.First = s.First.plus(t.First)
+	s.Between = s.Between.plus(t.Between)
+	s.Wait = s.Wait.plus(t.Wait)
+	for _, b := range t.Burns {
+		i := slices.IndexFunc(s.Burns, func(c Burn) bool { return c.Objective == b.Objective })
+		if i < 0 {
+			s.Burns = append(s.Burns, b)
+			continue
+		}
+		s.Burns[i].Short.add(b.Short)
+		s.Burns[i].Long.add(b.Long)
+		s.Burns[i] = s.Burns[i].derived()
+	}
+	return s
+}
