--- /dev/null
+++ b/stage/stage_test.go
@@ -0,0 +1,91 @@
+package stage_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/stage"
+	"github.com/tanagerbridge/tanagerbridge/watch"
+)
+
+func list(t *testing.T, s *stage.Stage, view ident.Region) []watch.Instance {
+	t.Helper()
+	r, err := http.Get(s.Platform.URL() + "/v1/instances?view=" + string(view))
+	require.NoError(t, err)
+	defer func() { _ = r.Body.Close() }()
+	var out struct{ Instances []watch.Instance }
+	require.NoError(t, json.NewDecoder(r.Body).Decode(&out))
+	return out.Instances
+}
+
+// Guards against a stage whose sizes or bundle differ from the design page, and
+// against traffic between regions that does not cross a link.
+func TestStageNetwork(t *testing.T) {
+	for _, tc := range []struct {
+		deployment       string
+		engines, desks   int
+		first, elsewhere ident.Region
+	}{
+		{stage.Kgosi, 18, 3, "gauteng", "kzn"},
+		{stage.Skovbro, 9, 3, "dk-east", "se-south"},
+	} {
+		t.Run(tc.deployment, func(t *testing.T) {
+			s, err := stage.Start(t.Context(), stage.Config{Deployment: tc.deployment, NoEntries: true})
+			require.NoError(t, err)
+			t.Cleanup(s.Close)
+			require.NoError(t, s.Document().Check())
+			own, far := list(t, s, tc.first), list(t, s, tc.elsewhere)
+			require.Len(t, own, tc.engines+tc.desks)
+			for i := range own {
+				// Each view sees its own region's addresses and a link's for the others.
+				same := own[i].Address == far[i].Address
+				require.False(t, same, own[i].Name)
+			}
+			load := func(limit time.Duration) error {
+				ctx, cancel := context.WithTimeout(t.Context(), limit)
+				defer cancel()
+				r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+far[0].Address+"/v1/load", http.NoBody)
+				resp, err := http.DefaultClient.Do(r)
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+				return err
+			}
+			start := time.Now()
+			require.NoError(t, load(10*time.Second))
+			require.GreaterOrEqual(t, time.Since(start), 2*s.Delay())
+			require.Positive(t, s.Sent(tc.elsewhere, tc.first))
+			s.Cut(tc.first)
+			require.Error(t, load(4*s.Delay()))
+			s.Heal()
+			require.NoError(t, load(10*time.Second))
+		})
+	}
+}
+
+// Guards against a published bundle that entries can't verify.
+func TestStagePublishesSigned(t *testing.T) {
+	s, err := stage.Start(t.Context(), stage.Config{NoEntries: true, Speed: 20})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	d := s.Document()
+	require.Equal(t, ident.Version(1), d.Version)
+	d.Version = 2
+	require.NoError(t, s.Publish(d))
+	require.Equal(t, ident.Version(2), s.Document().Version)
+	r, err := http.Get(s.Platform.URL() + "/v1/value/" + stage.ValueName)
+	require.NoError(t, err)
+	defer func() { _ = r.Body.Close() }()
+	var signed bundle.Signed
+	require.NoError(t, json.NewDecoder(r.Body).Decode(&signed))
+	parsed, err := bundle.Parse(signed.Body)
+	require.NoError(t, err)
+	require.Equal(t, ident.Version(2), parsed.Version)
+}
