feat(core): decide admission, placement, retries and outcomes

Cause: the daemon needs one deterministic place that composes the aggregates. Change: Core turns events into actions: admission against the bundle in force, queueing and placement by policy, resume and continuation of broken streams, ticket claims, crash suspicion, hedges, locate and status.

--- /dev/null
+++ b/core/tick.go
@@ -0,0 +1,41 @@
+package core
+
+import (
+	"github.com/tanagerbridge/tanagerbridge/clock"
+)
+
+func (c *Core) tick(now clock.Time) {
+	c.lastTick = now
+	for _, i := range c.queue.Expire(now) {
+		c.refuseWaiting(now, i.Request, "no endpoint was free before the deadline")
+	}
+	c.ledger.Expire(now)
+	c.pumpAll(now)
+	c.requests.each(func(r *request) { c.maybeHedge(now, r) })
+}
+
+// maybeHedge starts a second try of an idempotent request whose first token is
+// late, if the retry budget allows. The first answer wins and the other try is
+// cancelled.
+func (c *Core) maybeHedge(now clock.Time, r *request) {
+	if !r.hedge || r.once || r.begun > 0 || len(r.tries) != 1 || r.tries[0].hedge || r.tries[0].alone {
+		return
+	}
+	doc := c.force.Current()
+	if doc == nil || doc.Weights.Tail <= 0 || r.number >= doc.Retry.Attempts {
+		return
+	}
+	delay := clock.Span(float64(r.class.First) / doc.Weights.Tail)
+	t := r.tries[0]
+	if now.Sub(t.started) < delay {
+		return
+	}
+	avoid := r.avoid
+	r.avoid = append(append(avoid[:0:0], avoid...), t.endpoint)
+	choice, ok := c.choose(now, r)
+	r.avoid = avoid
+	if !ok || choice.Endpoint == t.endpoint || !c.retries.Take() {
+		return
+	}
+	c.dispatch(now, r, choice, true)
+}
