--- a/member/table_test.go
+++ b/member/table_test.go
@@ -102,6 +102,7 @@
 	w.run(3 * clock.Second)
 	require.True(t, w.table(0).Ready(w.now))
 	p := w.processes[w.names[0]]
+	w.table(0).Hear(w.now, []news.Member{{Entry: w.names[1], Incarnation: 1, State: news.Suspect}})
 	p.paused = true
 	w.run(5 * clock.Second)
 	require.False(t, w.table(0).Ready(w.now), "a paused process is not ready before its first tick either")
@@ -111,7 +112,8 @@
 	for range 15 {
 		w.advance()
 		require.False(t, w.table(0).Ready(w.now))
-		require.Len(t, w.table(0).Live(), 2)
+		require.Equal(t, news.Alive, w.state(0, 1))
+		require.Equal(t, news.Alive, w.state(0, 2))
 	}
 	w.run(2 * clock.Second)
 	require.True(t, w.table(0).Ready(w.now), "a cut-off process serves its callers")
