feat(fleet): make probes of slow endpoints rarer and recovery quicker

Change: probe after 200 attempts instead of 100 and with long work where there is any; compare times to the first token by kind of work in one mean; a probe that is not slow lets the next follow at once; add Fleet.Address.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -223,6 +223,14 @@
 	return ""
 }
 
+// Address returns the address of endpoint n, or "" if it is unknown.
+func (f *Fleet) Address(n ident.Endpoint) string {
+	if e := f.endpoints[n]; e != nil {
+		return e.address
+	}
+	return ""
+}
+
 // Report takes in the load report of endpoint n.
 func (f *Fleet) Report(now clock.Time, n ident.Endpoint, r Report) {
 	if e := f.endpoints[n]; e != nil {
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -28,6 +28,8 @@
 	// crowd is the least share of their slots that cold endpoints get while they hold
 	// more than a third of a region's slots, as after the loss of a zone.
 	crowd = 0.5
+	// busy is the part of the slots in use from which a region is short of them.
+	busy = 0.9
 	// recent is the weight of a new sample in the mean duration of attempts.
 	recent = 0.05
 )
@@ -141,18 +143,19 @@
 	g.changed = false
 	floor := g.floor(now)
 	share := g.share()
+	short := g.short()
 	g.candidates = g.candidates[:0]
 	for _, e := range g.endpoints {
 		if e.state != Live || e.over(now) {
 			continue
 		}
-		g.candidates = append(g.candidates, e.candidate(now, floor, share))
+		g.candidates = append(g.candidates, e.candidate(now, floor, share, short))
 	}
 }
 
 // candidate returns e as a Candidate; floor is the least share of slots while cold
 // and share the part of others' work that is taken to be long.
-func (e *endpoint) candidate(now clock.Time, floor, share float64) Candidate {
+func (e *endpoint) candidate(now clock.Time, floor, share float64, short bool) Candidate {
 	cold := max(floor, e.cold(now))
 	return Candidate{
 		Endpoint: e.name,
@@ -167,12 +170,24 @@
 		Cold:     e.warming != 0,
 		Warm:     len(e.prefixes) > 0,
 		Alone:    e.alone > 0,
-		Probe:    e.slow.due(now, e.group.began),
+		Probe:    e.slow.due(now, e.group.began, short),
 		Duration: clock.Span(e.group.duration),
 		prefixes: e.prefixes,
 	}
 }
 
+// short reports whether the endpoints that are not slow have hardly a free slot.
+func (g *group) short() bool {
+	load, slots := 0.0, 0.0
+	for _, e := range g.endpoints {
+		if e.state == Live && !e.slow.slowed {
+			load += e.estimate()
+			slots += float64(e.slots)
+		}
+	}
+	return load >= busy*slots
+}
+
 // share returns the part of this entry's attempts in the group that is long.
 func (g *group) share() float64 {
 	long, all := 0, 0
--- a/fleet/slow.go
+++ b/fleet/slow.go
@@ -15,15 +15,19 @@
 	regain = 0.5
 	// enough is how many samples make a judgement.
 	enough = 3
+	// tiny is the least sample, so that it has a logarithm.
+	tiny = 0.01
 	// measurable is how many tokens, or how much time, make a sample between tokens.
 	measurable ident.Tokens = 8
 	stalled                 = 2 * clock.Second
 	// probing is the shortest time between two probes of a slow endpoint.
-	probing = 2 * clock.Second
+	probing = 4 * clock.Second
 	// patience is the time after which a probe is sent whatever the traffic.
-	patience = 30 * clock.Second
-	// sparing is how many attempts the group starts from one probe to the next.
-	sparing = 100
+	patience = 60 * clock.Second
+	// sparing is how many attempts the group starts from one probe to the next. With
+	// 100, the probes of one slow endpoint alone were the slowest hundredth of a
+	// region's work.
+	sparing = 200
 )
 
 // Ratios to the median of the peers, as logarithms. Logarithms keep one straggler
@@ -52,9 +56,9 @@
 
 // add takes in a sample.
 func (g *gauge) add(x, rate float64) {
-	v := math.Log(max(x, 0.01))
+	v := math.Log(max(x, tiny))
 	if g.known {
-		v = min(max(v, g.median+lowest), g.median+highest)
+		v = g.median + g.compare(x)
 	}
 	g.count++
 	if g.count == 1 && !g.known {
@@ -67,6 +71,11 @@
 	g.mean += (v - g.mean) * rate
 }
 
+// compare returns the logarithm, within bounds, of the ratio of x to the median.
+func (g *gauge) compare(x float64) float64 {
+	return min(max(math.Log(max(x, tiny))-g.median, lowest), highest)
+}
+
 // ratio returns the logarithm of the ratio to the median.
 func (g *gauge) ratio() float64 {
 	if !g.known || g.count == 0 {
@@ -79,6 +88,11 @@
 type slowness struct {
 	// first has the times to the first token of urgent and of other work.
 	first [2]gauge
+	// lag is the mean ratio of these times to the peers' median for work of the same
+	// kind, over lags samples. It covers both kinds, so that a probe of one kind can
+	// clear an endpoint that was slow with the other.
+	lag  float64
+	lags int
 	// between has the times between tokens.
 	between gauge
 	// whole has the ratios of the time after the first token to the expected size.
@@ -136,26 +150,42 @@
 	s.turn = count + sparing
 }
 
-// due reports whether a slow endpoint should get a probe.
-func (s *slowness) due(now clock.Time, count int) bool {
+// due reports whether a slow endpoint should get a probe. If the region is short of
+// slots, the time alone decides: the endpoint may be the capacity that is missing.
+func (s *slowness) due(now clock.Time, count int, short bool) bool {
 	if !s.slowed || s.weight >= 1 || now.Before(s.next) {
 		return false
 	}
-	return count >= s.turn || !now.Before(s.late)
+	return short && !now.Before(s.next.Add(2*probing)) || count >= s.turn || !now.Before(s.late)
 }
 
-// opened takes in the time to the first token of r. A probe that was quick lets
-// the next one follow at once, so that recovery takes few of them.
+// opened takes in the time to the first token of r.
 func (s *slowness) opened(r *attempt, took clock.Span) {
 	g := &s.first[r.kind()]
 	x := float64(took) / r.scale()
-	g.add(x, s.rate())
-	if s.slowed && g.known && math.Log(max(x, 0.01))-g.median < leave {
+	s.sample(g, x)
+	s.hurry(g, x)
+}
+
+// hurry makes the next probe due at once if the sample x of a slow endpoint was not
+// slow, so that recovery takes little time.
+func (s *slowness) hurry(g *gauge, x float64) {
+	if s.slowed && g.known && g.compare(x) < enter {
 		s.next = 0
 		s.turn = 0
 	}
 }
 
+// sample takes in a time to the first token for gauge g.
+func (s *slowness) sample(g *gauge, x float64) {
+	g.add(x, s.rate())
+	if !g.known {
+		return
+	}
+	s.lag += (g.compare(x) - s.lag) * s.rate()
+	s.lags++
+}
+
 // closed takes in a completed attempt.
 func (s *slowness) closed(r *attempt, now clock.Time, tokens ident.Tokens) {
 	if r.first == 0 {
@@ -163,7 +193,9 @@
 		return
 	}
 	if n := tokens - r.tokens; n >= measurable {
-		s.between.add(float64(now.Sub(r.moved))/float64(n), s.rate())
+		x := float64(now.Sub(r.moved)) / float64(n)
+		s.between.add(x, s.rate())
+		s.hurry(&s.between, x)
 	}
 	if r.Size > 0 && tokens > 1 {
 		s.whole.add(float64(now.Sub(r.first))/float64(r.Size), s.rate())
@@ -178,8 +210,8 @@
 	}
 	g := &s.first[r.kind()]
 	x := float64(now.Sub(r.began)) / r.scale()
-	if g.known && math.Log(max(x, 0.01)) > max(g.mean, g.median+overdue) {
-		g.add(x, s.rate())
+	if g.known && g.compare(x) > max(s.lag, overdue) {
+		s.sample(g, x)
 	}
 }
 
@@ -187,7 +219,7 @@
 // gauges must be up to date.
 func (e *endpoint) judge(now clock.Time) {
 	s := &e.slow
-	s.ratio = max(e.waiting(now, 0), e.waiting(now, 1))
+	s.ratio = e.waiting(now)
 	if s.between.count >= enough {
 		s.ratio = max(s.ratio, s.between.ratio())
 	}
@@ -201,22 +233,19 @@
 	}
 }
 
-// waiting returns the ratio of times to the first token of one kind, in which the
-// attempts that are overdue count with their age.
-func (e *endpoint) waiting(now clock.Time, kind int) float64 {
-	g := &e.slow.first[kind]
-	if !g.known {
-		return 0
-	}
-	v := g.ratio()
-	count := g.count
+// waiting returns the ratio of times to the first token, in which the attempts that
+// are overdue count with their age.
+func (e *endpoint) waiting(now clock.Time) float64 {
+	v := e.slow.lag
+	count := e.slow.lags
 	for _, r := range e.attempts {
-		if r.first != 0 || r.kind() != kind {
+		g := &e.slow.first[r.kind()]
+		if r.first != 0 || !g.known {
 			continue
 		}
-		age := math.Log(max(float64(now.Sub(r.began))/r.scale(), 0.01)) - g.median
+		age := g.compare(float64(now.Sub(r.began)) / r.scale())
 		if age > max(v, overdue) {
-			v += (min(age, highest) - v) * gain
+			v += (age - v) * gain
 			count++
 		}
 	}
--- a/route/away.go
+++ b/route/away.go
@@ -60,6 +60,9 @@
 	if a.Long {
 		u = 0
 	}
+	if _, ok := w.urgent[a.Service]; !ok {
+		w.urgent[a.Service] = 1
+	}
 	w.urgent[a.Service] += (u - w.urgent[a.Service]) * blend
 	if a.Size <= 0 {
 		return
@@ -72,6 +75,12 @@
 	w.sizes[f] += (float64(a.Size) - w.sizes[f]) * blend
 }
 
+// mixed reports whether at least about 2 in 100 of a service's requests are long.
+func (w *away) mixed(s ident.Service) bool {
+	u, ok := w.urgent[s]
+	return ok && u < 0.98
+}
+
 // sent records a request sent to another region.
 func (w *away) sent(now clock.Time, p place) {
 	kept := w.sends[p][:0]
--- a/route/tanager.go
+++ b/route/tanager.go
@@ -177,11 +177,16 @@
 func slow(c *fleet.Candidate) bool { return c.Weight < sluggish && !c.Cold }
 
 // probe returns the index of a slow endpoint that is due for a probe, or -1.
-// Requests that were tried before or have waited for long are spared.
+// Requests that were tried before or have waited for long are spared, and so is
+// urgent work if the service has other work: a few probes are enough to raise the
+// tail of urgent work, whose times to the first token differ little.
 func (t *tanager) probe(a *Ask, m room, found []fleet.Candidate, usable []int) int {
 	if len(a.Avoid) > 0 || a.Waited > a.First/2 {
 		return -1
 	}
+	if !a.Long && t.away.mixed(a.Service) {
+		return -1
+	}
 	for _, i := range usable {
 		if found[i].Probe && m.fits(&found[i]) {
 			return i
