feat(cmd): add locate, send, report, status and drain

Cause: callers and operators need the protocols from the command line, with exit statuses that scripts can rely on. Run returns the exit status of an error. A ticket that can't be kept ends the call before it is sent.

--- a/caller/call.go
+++ b/caller/call.go
@@ -87,6 +87,8 @@
 	asked string
 	// after is the pause that the last entry asked for.
 	after clock.Span
+	// unkept is the error of Config.Ticketed.
+	unkept error
 }
 
 func (o *order) run(ctx context.Context) (Outcome, error) {
@@ -134,6 +136,9 @@
 	if err != nil {
 		return err
 	}
+	if o.unkept != nil {
+		return fault.Wrap("call", Invalid, o.unkept)
+	}
 	o.out.Address = address
 	o.out.Request = ident.Request(o.id + "." + strconv.Itoa(int(o.out.Attempts)))
 	err = o.send(ctx, address)
@@ -189,7 +194,7 @@
 	o.out.Ticket = ticket
 	o.doubt = false
 	if ticket != "" {
-		o.c.config.Ticketed(ticket)
+		o.unkept = o.c.config.Ticketed(ticket)
 	}
 }
 
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerbridge/tanagerbridge/caller"
@@ -209,6 +210,20 @@
 	require.Equal(t, []string{"A old", "B old"}, d.log)
 }
 
+// Guards against an order that is placed under a ticket that could not be kept.
+func TestTicketNotKept(t *testing.T) {
+	d := newDesk(t, "", true)
+	c, err := caller.New(caller.Config{
+		Entries: []string{address(d.a)}, Service: "orders",
+		Ticketed: func(string) error { return errors.New("disk full") },
+	})
+	require.NoError(t, err)
+	out, err := c.Call(t.Context(), http.MethodPost, "/orders", nil)
+	require.Equal(t, caller.Invalid, kindOf(err))
+	require.Equal(t, caller.NotRun, out.State)
+	require.Empty(t, d.log)
+}
+
 // Guards against "unknown" for a call that can't have reached anyone.
 func TestUnreachable(t *testing.T) {
 	d := newDesk(t, "", true)
--- a/caller/client.go
+++ b/caller/client.go
@@ -59,8 +59,9 @@
 	Seed uint64
 	// Sleep waits between sends; nil for a timer.
 	Sleep func(context.Context, clock.Span) error
-	// Ticketed is told every ticket before it is used, so that it can be kept for Resume.
-	Ticketed func(ticket string)
+	// Ticketed is told every ticket before it is used, so that it can be kept for
+	// Resume. An error ends the call before the ticket is used.
+	Ticketed func(ticket string) error
 }
 
 // Client sends the requests of one caller for one service. It is safe for
@@ -103,7 +104,7 @@
 		c.Sleep = sleep
 	}
 	if c.Ticketed == nil {
-		c.Ticketed = func(string) {}
+		c.Ticketed = func(string) error { return nil }
 	}
 	c.Attempts = or(c.Attempts, defaultAttempts)
 	c.Wait = or(c.Wait, defaultWait)
--- /dev/null
+++ b/cmd/locate.go
@@ -0,0 +1,64 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerbridge/tanagerbridge/caller"
+	"github.com/tanagerbridge/tanagerbridge/config"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+)
+
+func locateCommand() *cli.Command {
+	return &cli.Command{
+		Name:         "locate",
+		Usage:        "show which entries to use for a service",
+		Flags:        append(callerFlags(), stringFlag("call", "call of a plain service, such as \"POST /orders\""), jsonFlag()),
+		OnUsageError: plainError,
+		Action:       runLocate,
+	}
+}
+
+func runLocate(ctx context.Context, c *cli.Command) error {
+	settings, err := callerConfig(c)
+	if err != nil {
+		return err
+	}
+	call := c.String("call")
+	if method, path, _ := strings.Cut(call, " "); call != "" && (method == "" || !strings.HasPrefix(path, "/")) {
+		return fault.Newf("--call", config.Invalid, "%q is not METHOD /path", call)
+	}
+	client, err := caller.New(settings)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	l, err := client.Locate(ctx, call)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return json.NewEncoder(c.Root().Writer).Encode(l)
+	}
+	return locationTable(c.Root().Writer, l)
+}
+
+func locationTable(out io.Writer, l caller.Location) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "ENTRY\tADDRESS\tREGION") // errors come back from Flush
+	for _, e := range l.Entries {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\n", e.Name, e.Address, e.Region)
+	}
+	_, _ = fmt.Fprintf(t, "\nvalid for %s\n", l.Validity)
+	if l.Ticket != "" {
+		_, _ = fmt.Fprintf(t, "ticket %s\n", l.Ticket)
+	}
+	return t.Flush()
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -10,12 +10,12 @@
 )
 
 // Run executes the command line args and returns the exit status: 0 for
-// success, 1 for an error.
+// success, 1 for an error, and those of exit.go for outcomes of a request.
 func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	app := root(out, errOut)
 	if err := app.Run(ctx, args); err != nil {
 		_, _ = fmt.Fprintln(errOut, "tanagerbridge: "+err.Error())
-		return 1
+		return exitStatus(err)
 	}
 	return 0
 }
@@ -33,5 +33,12 @@
 
 // commands lists the subcommands; each lives in a file of its own.
 func commands() []*cli.Command {
-	return []*cli.Command{}
+	return []*cli.Command{
+		standinCommand(),
+		locateCommand(),
+		sendCommand(),
+		reportCommand(),
+		statusCommand(),
+		drainCommand(),
+	}
 }
--- /dev/null
+++ b/cmd/send.go
@@ -0,0 +1,235 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerbridge/tanagerbridge/caller"
+	"github.com/tanagerbridge/tanagerbridge/config"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+func sendCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "send",
+		Usage:     "send a prompt to a model, or with --path a call to a plain service",
+		ArgsUsage: "[PROMPT]",
+		Description: "The answer goes to the output as it comes; everything else goes to the error output.\n" +
+			"A call that is not idempotent gets a ticket, which is shown before it is used. With --ticket or\n" +
+			"--keep the same call can be continued later; it is never placed twice.\n" +
+			"Exit status: 0 done; 1 wrong settings or another error; 2 not run; 3 unknown, or the answer of a\n" +
+			"model is incomplete; 4 run, but the answer can't be had any more.",
+		Flags: append(
+			callerFlags(),
+			&cli.IntFlag{Name: "tokens", Usage: "longest answer of the model; 0 leaves it to the service"},
+			&cli.StringFlag{Name: "model", Usage: "model to use; may be left out if the service has one"},
+			&cli.BoolFlag{Name: "whole", Usage: "show an answer of a model only when it is complete"},
+			&cli.StringFlag{Name: "path", Usage: "path of a call, such as /orders"},
+			&cli.StringFlag{Name: "method", Value: http.MethodPost, Usage: "method of a call"},
+			&cli.StringFlag{Name: "body", Usage: "body of a call"},
+			&cli.StringFlag{Name: "ticket", Usage: "ticket of a call to continue"},
+			&cli.StringFlag{Name: "keep", Usage: "file that holds the ticket of a call until its outcome is known"},
+		),
+		OnUsageError: plainError,
+		Action:       runSend,
+	}
+}
+
+func runSend(ctx context.Context, c *cli.Command) error {
+	settings, err := callerConfig(c)
+	if err != nil {
+		return err
+	}
+	if err := checkSend(c); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	if c.String("path") == "" {
+		return sendPrompt(ctx, c, settings)
+	}
+	return sendCall(ctx, c, settings)
+}
+
+func checkSend(c *cli.Command) error {
+	path := c.String("path")
+	switch {
+	case path == "" && c.NArg() == 0:
+		return fault.Newf("--path", config.Missing, "neither a prompt nor a call to send")
+	case path != "" && c.NArg() > 0:
+		return fault.Newf("--path", config.Invalid, "a prompt and a call can't be sent together")
+	case path != "" && !strings.HasPrefix(path, "/"):
+		return fault.Newf("--path", config.Invalid, "%q doesn't start with a slash", path)
+	case path == "" && (c.String("ticket") != "" || c.String("keep") != ""):
+		return fault.Newf("--path", config.Missing, "--ticket and --keep need a call")
+	case c.String("ticket") != "" && c.String("keep") != "":
+		return fault.Newf("--ticket", config.Invalid, "can't be used with --keep")
+	case c.String("method") == "":
+		return fault.New("--method", config.Missing)
+	case c.Int("tokens") < 0:
+		return fault.Newf("--tokens", config.Invalid, "%d is negative", c.Int("tokens"))
+	}
+	return nil
+}
+
+func sendPrompt(ctx context.Context, c *cli.Command, settings caller.Config) error {
+	client, err := caller.New(settings)
+	if err != nil {
+		return err
+	}
+	p := caller.Prompt{
+		Model:    c.String("model"),
+		Messages: []caller.Message{{Role: "user", Content: strings.Join(c.Args().Slice(), " ")}},
+		Tokens:   ident.Tokens(c.Int("tokens")),
+	}
+	out, errOut := c.Root().Writer, c.Root().ErrWriter
+	s := printer{out: out, errOut: errOut, whole: c.Bool("whole")}
+	a, err := client.Complete(ctx, p, caller.Sink{Token: s.token, Restart: s.restart})
+	if err != nil {
+		return &statusError{error: err, status: promptStatus(err, a)}
+	}
+	s.end()
+	_, _ = fmt.Fprintf(errOut, "done: %d tokens from %s, request %s, attempt %d\n", a.Tokens, a.Address, a.Request, a.Attempts)
+	return s.err
+}
+
+// promptStatus tells a prompt that no model has run from an incomplete answer.
+func promptStatus(err error, a caller.Answer) int {
+	var r *caller.Refusal
+	refused := errors.As(err, &r) && r.Ran == caller.RanNo
+	unsent := fault.KindOf[caller.Kind](err) == caller.Unreachable
+	if a.Attempts == 1 && (refused || unsent) {
+		return exitNotRun
+	}
+	// Of several attempts an earlier one may have run.
+	return exitUnknown
+}
+
+// printer shows the tokens of an answer.
+type printer struct {
+	out, errOut io.Writer
+	// whole holds the tokens back until the answer is complete.
+	whole bool
+	held  strings.Builder
+	err   error
+}
+
+func (p *printer) token(t string) {
+	if p.whole {
+		p.held.WriteString(t)
+		return
+	}
+	p.write(t)
+}
+
+func (p *printer) restart(cause error) {
+	if !p.whole {
+		p.write("\n")
+	}
+	p.held.Reset()
+	_, _ = fmt.Fprintln(p.errOut, "the answer broke off and begins again: "+cause.Error())
+}
+
+func (p *printer) end() { p.write(p.held.String() + "\n") }
+
+func (p *printer) write(text string) {
+	if p.err == nil {
+		_, p.err = io.WriteString(p.out, text)
+	}
+}
+
+func sendCall(ctx context.Context, c *cli.Command, settings caller.Config) error {
+	errOut := c.Root().ErrWriter
+	k := keeper{path: c.String("keep"), ticket: c.String("ticket")}
+	if err := k.load(); err != nil {
+		return err
+	}
+	settings.Ticketed = func(ticket string) error {
+		_, _ = fmt.Fprintln(errOut, "ticket: "+ticket)
+		return k.store(ticket)
+	}
+	client, err := caller.New(settings)
+	if err != nil {
+		return err
+	}
+	outcome, err := call(ctx, c, client, k.ticket)
+	_, _ = fmt.Fprintf(errOut, "%s: request %s, attempt %d\n", outcome.State, outcome.Request, outcome.Attempts)
+	if err != nil {
+		return k.settled(outcome, err)
+	}
+	_, _ = fmt.Fprintf(errOut, "status: %d\n", outcome.Status)
+	if _, err := c.Root().Writer.Write(outcome.Body); err != nil {
+		return err
+	}
+	return k.drop()
+}
+
+func call(ctx context.Context, c *cli.Command, client *caller.Client, ticket string) (caller.Outcome, error) {
+	method, path, body := strings.ToUpper(c.String("method")), c.String("path"), []byte(c.String("body"))
+	if ticket != "" {
+		return client.Resume(ctx, ticket, method, path, body)
+	}
+	return client.Call(ctx, method, path, body)
+}
+
+// keeper holds the ticket of a call in a file until its outcome is known.
+type keeper struct {
+	// path is empty if the ticket isn't kept.
+	path   string
+	ticket string
+}
+
+// load reads the ticket that an earlier run left.
+func (k *keeper) load() error {
+	if k.path == "" {
+		return nil
+	}
+	text, err := os.ReadFile(k.path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	k.ticket = strings.TrimSpace(string(text))
+	return errors.Wrap(err, "--keep")
+}
+
+func (k *keeper) store(ticket string) error {
+	k.ticket = ticket
+	if k.path == "" {
+		return nil
+	}
+	return errors.Wrap(os.WriteFile(k.path, []byte(ticket+"\n"), 0o600), "--keep")
+}
+
+// settled turns an outcome without an answer into an exit status. The ticket of
+// an unknown one is kept.
+func (k *keeper) settled(o caller.Outcome, err error) error {
+	status := exitNotRun
+	switch o.State {
+	case caller.Unknown:
+		return &statusError{error: err, status: exitUnknown}
+	case caller.Done:
+		status = exitGone
+	}
+	if dropErr := k.drop(); dropErr != nil {
+		return dropErr
+	}
+	return &statusError{error: err, status: status}
+}
+
+func (k *keeper) drop() error {
+	if k.path == "" {
+		return nil
+	}
+	if err := os.Remove(k.path); !errors.Is(err, os.ErrNotExist) {
+		return errors.Wrap(err, "--keep")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/settings.go
@@ -0,0 +1,92 @@
+package cmd
+
+import (
+	"context"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerbridge/tanagerbridge/caller"
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/config"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// sources returns the environment variable of a flag: TANAGER_ and the name in capitals.
+func sources(flag string) cli.ValueSourceChain {
+	return cli.EnvVars("TANAGER_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
+}
+
+func stringFlag(name, usage string) cli.Flag {
+	return &cli.StringFlag{Name: name, Usage: usage, Sources: sources(name)}
+}
+
+func timeoutFlag(value time.Duration, usage string) cli.Flag {
+	return &cli.DurationFlag{Name: "timeout", Value: value, Usage: usage, Sources: sources("timeout")}
+}
+
+func jsonFlag() cli.Flag { return &cli.BoolFlag{Name: "json", Usage: "write JSON instead of a table"} }
+
+// plainError makes a command return a wrong flag as an error, without its help text.
+func plainError(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
+
+// callerFlags are the settings of a caller.
+func callerFlags() []cli.Flag {
+	return []cli.Flag{
+		stringFlag("entries", "addresses (HOST:PORT,...) of entries to ask first"),
+		stringFlag("service", "service to use"),
+		stringFlag("home", "home that the data belongs to"),
+		stringFlag("caller", "name of this caller"),
+		timeoutFlag(5*time.Minute, "longest time for everything"),
+	}
+}
+
+// callerConfig checks the settings of callerFlags.
+func callerConfig(c *cli.Command) (caller.Config, error) {
+	entries, err := addresses(c, "entries")
+	if err != nil {
+		return caller.Config{}, err
+	}
+	if c.String("service") == "" {
+		return caller.Config{}, fault.New("--service", config.Missing)
+	}
+	if err := checkTimeout(c); err != nil {
+		return caller.Config{}, err
+	}
+	return caller.Config{
+		Entries: entries,
+		Service: ident.Service(c.String("service")),
+		Home:    ident.Home(c.String("home")),
+		Caller:  ident.Caller(c.String("caller")),
+		Clock:   clock.NewSystem(),
+	}, nil
+}
+
+func checkTimeout(c *cli.Command) error {
+	if d := c.Duration("timeout"); d <= 0 {
+		return fault.Newf("--timeout", config.Invalid, "%s is not above 0", d)
+	}
+	return nil
+}
+
+// addresses returns the addresses of a flag that lists them with commas.
+func addresses(c *cli.Command, flag string) ([]string, error) {
+	var out []string
+	for _, a := range strings.Split(c.String(flag), ",") {
+		a = strings.TrimSpace(a)
+		if a == "" {
+			continue
+		}
+		if _, port, err := net.SplitHostPort(a); err != nil || port == "" {
+			return nil, fault.Newf("--"+flag, config.Invalid, "%q is not HOST:PORT", a)
+		}
+		out = append(out, a)
+	}
+	if len(out) == 0 {
+		return nil, fault.New("--"+flag, config.Missing)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/cmd/status.go
@@ -0,0 +1,101 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerbridge/tanagerbridge/status"
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the version in force, the members, the endpoints and the queues of entries",
+		Description: "An entry that doesn't answer is shown as missing. Exit status 1 if no entry answered.\n" +
+			"Each entry decides from what it sees itself, so that members and endpoints are shown per entry.",
+		Flags:        adminFlags(),
+		OnUsageError: plainError,
+		Action:       runStatus,
+	}
+}
+
+// statusReport is the JSON of the command.
+type statusReport struct {
+	Entries []status.Status `json:"entries"`
+	Missing []missingEntry  `json:"missing"`
+}
+
+type missingEntry struct {
+	Address string `json:"address"`
+	Cause   string `json:"cause"`
+}
+
+func runStatus(ctx context.Context, c *cli.Command) error {
+	answers, err := gatherFor[status.Status](ctx, c, status.PathStatus)
+	if err != nil {
+		return err
+	}
+	r := statusReport{Entries: []status.Status{}, Missing: []missingEntry{}}
+	for _, a := range answers {
+		if a.err != nil {
+			r.Missing = append(r.Missing, missingEntry{Address: a.address, Cause: a.err.Error()})
+			continue
+		}
+		r.Entries = append(r.Entries, a.value)
+	}
+	if c.Bool("json") {
+		err = json.NewEncoder(c.Root().Writer).Encode(r)
+	} else {
+		err = r.table(c.Root().Writer)
+	}
+	if err != nil {
+		return err
+	}
+	return reached(answers)
+}
+
+func (r statusReport) table(out io.Writer) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	line(t, "ENTRY\tREGION\tZONE\tINCARNATION\tSTATE\tVERSION\tDIGEST\tREQUESTS")
+	for _, e := range r.Entries {
+		line(t, "%s\t%s\t%s\t%d\t%s\t%d\t%.12s\t%d", e.Entry, e.Region, e.Zone, e.Incarnation, e.State, e.Version, e.Digest, e.Requests)
+	}
+	line(t, "\nSEEN BY\tMEMBER\tREGION\tSTATE\tINCARNATION")
+	for _, e := range r.Entries {
+		for _, m := range e.Members {
+			line(t, "%s\t%s\t%s\t%s\t%d", e.Entry, m.Name, m.Region, m.State, m.Incarnation)
+		}
+	}
+	line(t, "\nSEEN BY\tENDPOINT\tSERVICE\tREGION\tSTATE\tWEIGHT\tLOAD\tMINE")
+	for _, e := range r.Entries {
+		for _, p := range e.Endpoints {
+			line(t, "%s\t%s\t%s\t%s\t%s\t%.2f\t%.1f\t%d", e.Entry, p.Name, p.Service, p.Region, p.State, p.Weight, p.Load, p.Mine)
+		}
+	}
+	line(t, "\nENTRY\tQUEUE\tWAITING")
+	for _, e := range r.Entries {
+		for _, q := range e.Queues {
+			line(t, "%s\t%s\t%d", e.Entry, q.Service, q.Waiting)
+		}
+	}
+	line(t, "\nENTRY\tCOUNTER\tVALUE")
+	for _, e := range r.Entries {
+		for _, n := range e.Counters {
+			line(t, "%s\t%s\t%d", e.Entry, n.Name, n.Value)
+		}
+	}
+	for _, m := range r.Missing {
+		line(t, "\nmissing: %s (%s)", m.Address, m.Cause)
+	}
+	return t.Flush()
+}
+
+// line writes one line of a table. An error of the writer comes back from Flush.
+func line(t io.Writer, format string, args ...any) {
+	_, _ = fmt.Fprintf(t, format+"\n", args...)
+}
