fix(caller): recognise every refusal of a call that was run

Cause: an entry may refuse a send with ran=yes and any reason while the ticket is running or done elsewhere; the client took some of these for the service's answer. Change: with ran=yes a refusal is recognised by its form and the request id of the send; unless it is final the client goes on with the same ticket. Result: go test -race -count 3 ./caller passes with a case for each; ./cmd passes on a scratch copy.

--- a/caller/call.go
+++ b/caller/call.go
@@ -225,14 +225,14 @@
 
 // answered takes in a complete answer.
 func (o *order) answered(r reply, body []byte) error {
-	refusal := refused(r.StatusCode, r.Header, body)
+	refusal := refused(r, body)
 	if refusal == nil {
 		o.out.State = Done
 		o.out.Status, o.out.Header, o.out.Body = r.StatusCode, r.Header, body
 		return nil
 	}
 	o.after = retryAfter(r.Header)
-	if refusal.Ran == RanYes && !o.open(refusal.Kind) {
+	if refusal.Ran == RanYes && !o.open(refusal) {
 		o.out.State = Done
 		return fault.Wrap("call", Gone, error(refusal))
 	}
@@ -240,10 +240,16 @@
 	return fault.Wrap("call", Refused, error(refusal))
 }
 
-// open reports whether a call that was run may still get its answer: it is
-// running at the owner of its ticket, or it is idempotent and may be run again.
-func (o *order) open(kind Reason) bool {
-	return kind == ReasonOwner || kind == ReasonEndpoint && o.out.Ticket == ""
+// open reports whether a call that was run, or is running, may still get its
+// answer: the owner of its ticket has it, or the call is idempotent.
+func (o *order) open(r *Refusal) bool {
+	switch r.Kind {
+	case ReasonGone:
+		return false
+	case ReasonEndpoint:
+		return o.out.Ticket == ""
+	}
+	return !r.final()
 }
 
 // refused decides where the next send goes and under which ticket.
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -81,9 +81,10 @@
 	case "ok":
 		w.Header().Set(caller.HeaderRan, string(caller.RanYes))
 		_, _ = w.Write([]byte("placed"))
-	case "own503": // the service's own answer
+	case "own503": // the service's own answer, which looks like a refusal
 		w.Header().Set(caller.HeaderRan, string(caller.RanYes))
 		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"error":{"kind":"overload","ran":"yes"}}`))
 	case "crossed":
 		w.Header().Set(caller.HeaderRequest, "other")
 	case "cut":
@@ -102,7 +103,9 @@
 	var status int
 	parts := strings.Split(word, "/")
 	_, _ = fmt.Sscan(parts[0], &status)
-	e := caller.Envelope{Error: caller.Refusal{Kind: caller.Reason(parts[1]), Ran: caller.Ran(parts[2])}}
+	e := caller.Envelope{Error: caller.Refusal{
+		Kind: caller.Reason(parts[1]), Ran: caller.Ran(parts[2]), Request: ident.Request(w.Header().Get(caller.HeaderRequest)),
+	}}
 	switch extra {
 	case "ticket":
 		e.Error.Ticket = d.ticket(name)
@@ -150,6 +153,8 @@
 		"other region":             {"421/region/no+B 410/void/no+ticket ok", "A A1,B A1,B B2", caller.Done, ""},
 		"draining":                 {"503/draining/no 410/void/no+ticket ok", "A A1,B A1,B B2", caller.Done, ""},
 		"told to run at the owner": {"421/owner/yes+B ok", "A A1,B A1", caller.Done, ""},
+		"refused, but is running":  {"503/draining/yes ok", "A A1,B A1", caller.Done, ""},
+		"refused, but was run":     {"413/body/yes", "A A1", caller.Done, caller.Gone},
 		"endpoint failed":          {"502/endpoint/yes", "A A1", caller.Done, caller.Gone},
 		"answer gone":              {"409/gone/yes", "A A1", caller.Done, caller.Gone},
 		"refused for good":         {"413/body/no", "A A1", caller.NotRun, caller.Refused},
--- a/caller/locate.go
+++ b/caller/locate.go
@@ -93,7 +93,7 @@
 
 // answerRefusal returns a Refusal for an answer that has to be one.
 func answerRefusal(r reply, body []byte) *Refusal {
-	if refusal := refused(r.StatusCode, r.Header, body); refusal != nil {
+	if refusal := refused(r, body); refusal != nil {
 		return refusal
 	}
 	var e Envelope
--- a/caller/refuse.go
+++ b/caller/refuse.go
@@ -5,45 +5,33 @@
 	"net/http"
 )
 
-// refused returns the Refusal that an entry answered with, or nil if the answer
-// is the service's own. Only entries set HeaderRan to no or unknown. With yes, a
-// refusal is recognised by its reason and status: the call runs at another entry,
-// or it was run and its answer is missing.
-func refused(status int, h http.Header, body []byte) *Refusal {
-	ran := Ran(h.Get(HeaderRan))
-	if ran == "" || status < http.StatusBadRequest {
+// refused returns the Refusal that an entry answered a send with, or nil if the
+// answer is the service's own. Only entries set HeaderRan to no or unknown. With
+// yes, which stands on the service's answers as well, a refusal is recognised by
+// its form and by the id of the send: the call runs elsewhere, or it was run and
+// its answer is missing.
+func refused(r reply, body []byte) *Refusal {
+	ran := Ran(r.Header.Get(HeaderRan))
+	if ran == "" || r.StatusCode < http.StatusBadRequest {
 		return nil
 	}
 	var e Envelope
-	if json.Unmarshal(body, &e) != nil {
-		e.Error = Refusal{Message: http.StatusText(status)}
-	}
-	r := &e.Error
+	parsed := json.Unmarshal(body, &e) == nil
+	refusal := &e.Error
 	if ran == RanYes {
-		if r.Ran != RanYes || !withoutAnswer(status, r.Kind) {
+		if !parsed || refusal.Ran != RanYes || refusal.Kind == "" || string(refusal.Request) != r.Header.Get(HeaderRequest) {
 			return nil
 		}
-		return r
+		return refusal
 	}
-	r.Ran = agreed(ran, r.Ran)
-	if r.Kind == "" {
-		r.Kind = byStatus(status)
+	if !parsed {
+		*refusal = Refusal{Message: http.StatusText(r.StatusCode)}
 	}
-	return r
-}
-
-// withoutAnswer reports whether an entry gives this reason for a call that was
-// run or is running.
-func withoutAnswer(status int, kind Reason) bool {
-	switch kind {
-	case ReasonOwner:
-		return status == http.StatusMisdirectedRequest
-	case ReasonEndpoint:
-		return status == http.StatusBadGateway
-	case ReasonGone:
-		return true
+	refusal.Ran = agreed(ran, refusal.Ran)
+	if refusal.Kind == "" {
+		refusal.Kind = byStatus(r.StatusCode)
 	}
-	return false
+	return refusal
 }
 
 // agreed returns what the header and the body say about the execution. Unless
--- a/cmd/send_test.go
+++ b/cmd/send_test.go
@@ -42,7 +42,7 @@
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(caller.HeaderRan, ran)
 		w.WriteHeader(status)
-		_, _ = fmt.Fprintf(w, `{"error":{"kind":%q,"ran":%q}}`, kind, ran)
+		_, _ = fmt.Fprintf(w, `{"error":{"kind":%q,"ran":%q,"request":%q}}`, kind, ran, w.Header().Get(caller.HeaderRequest))
 	}
 }
 
