--- a/core/admit.go
+++ b/core/admit.go
@@ -10,6 +10,7 @@
 	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/ledger"
 	"github.com/tanagerbridge/tanagerbridge/queue"
 )
 
@@ -28,10 +29,26 @@
 
 func (t target) once() bool { return t.call != nil && !t.call.Idempotent }
 
-// Admit checks a request before its body is read. It changes nothing and returns nil
-// if the request may go on.
+// Admit checks a request before its body is read and returns nil if it may go on.
 func (c *Core) Admit(now clock.Time, h Head) *Refusal {
 	_, refusal := c.resolve(now, h)
+	return c.Truthful(now, h, refusal)
+}
+
+// Truthful corrects what a refusal says about the execution of a request that
+// carries a ticket: an earlier send of the ticket may have been run. A ticket of
+// this process that was not seen yet is voided before "not run" is said.
+func (c *Core) Truthful(now clock.Time, h Head, refusal *Refusal) *Refusal {
+	if refusal == nil || h.Ticket == nil || refusal.Ran != caller.RanNo {
+		return refusal
+	}
+	switch c.ledger.Void(now, *h.Ticket).State {
+	case ledger.Void, ledger.Expired:
+	case ledger.Done, ledger.Running:
+		refusal.Ran = caller.RanYes
+	default:
+		refusal.Ran = caller.RanUnknown
+	}
 	return refusal
 }
 
@@ -114,7 +131,7 @@
 		refusal = refused(caller.ReasonCrash, "this request crashed endpoints and is refused for a while", suspectTerm)
 	}
 	if refusal != nil {
-		c.refuse(now, e.Request, refusal)
+		c.refuse(now, e.Request, c.Truthful(now, e.Head, refusal))
 		return
 	}
 	r := c.newRequest(now, e, t)
