--- a/cmd/drain.go
+++ b/cmd/drain.go
@@ -27,7 +27,7 @@
 		Description: "Exit status 0 when the entry has left. With status 1 it is still at work or can't be\n" +
 			"reached, and the error says what is in progress; the drain itself goes on.",
 		Flags: []cli.Flag{
-			stringFlag("admins", "admin address (HOST:PORT) of the entry"),
+			stringFlag("admin", "admin address (HOST:PORT) of the entry"),
 			timeoutFlag(5*time.Minute, "longest time to wait for the entry to leave"),
 			&cli.DurationFlag{Name: "interval", Value: 500 * time.Millisecond, Usage: "time between two questions"},
 		},
@@ -37,12 +37,12 @@
 }
 
 func runDrain(ctx context.Context, c *cli.Command) error {
-	admins, err := addresses(c, "admins")
+	admins, err := addresses(c, "admin")
 	if err != nil {
 		return err
 	}
 	if len(admins) > 1 {
-		return fault.Newf("--admins", config.Invalid, "one entry is drained at a time")
+		return fault.Newf("--admin", config.Invalid, "one entry is drained at a time")
 	}
 	if err := checkTimeout(c); err != nil {
 		return err
