feat(peer): connect entries with probes, news and handover

Cause: entries must detect failures of each other, spread bundles and urgent news, answer for tickets and hand over their ledger. Addresses come from the platform's list only, and a probe counts only if the named entry answers. Closing a wire client ends its dials.

--- /dev/null
+++ b/peer/node_test.go
@@ -0,0 +1,309 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/ledger"
+	"github.com/tanagerbridge/tanagerbridge/news"
+	"github.com/tanagerbridge/tanagerbridge/peer"
+	"github.com/tanagerbridge/tanagerbridge/ticket"
+	"github.com/tanagerbridge/tanagerbridge/watch"
+	"github.com/tanagerbridge/tanagerbridge/wire"
+)
+
+const (
+	patience = 30 * time.Second
+	poll     = 20 * time.Millisecond
+)
+
+// core is a daemon that accepts every higher version.
+type core struct {
+	mu         sync.Mutex
+	mark       news.Bundle
+	bundle     []byte
+	offers     int
+	conflicts  int
+	departures []news.Departure
+	heard      []news.Departure
+	ledger     *ledger.Ledger
+	adopts     bool
+	adopted    []ledger.Handover
+}
+
+func (c *core) News() news.News {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return news.News{Bundle: c.mark, Departures: c.departures}
+}
+
+func (c *core) Hear(n news.News) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard = append(c.heard, n.Departures...)
+}
+
+func (c *core) Ask(t ticket.Ticket) ledger.Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o, ok := c.ledger.Answer(1, t); ok {
+		return o
+	}
+	return c.ledger.Void(1, t)
+}
+
+func (c *core) Bundle() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bundle
+}
+
+func (c *core) Offer(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.offers++
+	mark := markOf(b)
+	if mark.Version == c.mark.Version && mark != c.mark {
+		c.conflicts++
+	}
+	if mark.Version > c.mark.Version {
+		c.mark, c.bundle = mark, b
+	}
+}
+
+func (c *core) Adopt(h ledger.Handover) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.adopts {
+		return errors.New("no room")
+	}
+	c.adopted = append(c.adopted, h)
+	c.ledger.Adopt(1, h)
+	return nil
+}
+
+// markOf reads the stand-in for a bundle: a version and a digest of one byte each.
+func markOf(b []byte) news.Bundle {
+	return news.Bundle{Version: ident.Version(b[0]), Digest: news.Digest{b[1]}}
+}
+
+func (c *core) version() ident.Version { return c.News().Bundle.Version }
+
+type fleet struct {
+	nodes []*peer.Node
+	cores []*core
+	list  []watch.Instance
+}
+
+var regions = []ident.Region{"gauteng", "kzn", "gauteng"}
+
+func start(t *testing.T, secrets ...wire.Secrets) *fleet {
+	t.Helper()
+	f := &fleet{}
+	for i, r := range regions {
+		name := ident.Entry(fmt.Sprintf("e%d", i))
+		secret := wire.Secrets{Current: []byte("the secret of the fleet")}
+		if i < len(secrets) {
+			secret = secrets[i]
+		}
+		c := &core{adopts: true, ledger: ledger.New(ledger.Config{Entry: name, Incarnation: 1, Margin: clock.Minute, Answers: 1 << 20})}
+		n, err := peer.Start(t.Context(), peer.Config{
+			Self:   news.Member{Entry: name, Incarnation: 1, Region: r, Zone: "z"},
+			Listen: "127.0.0.1:0", Core: c, Seed: uint64(i), Secrets: secret,
+			Period: 100 * clock.Millisecond, Suspicion: clock.Second,
+		})
+		require.NoError(t, err)
+		t.Cleanup(n.Close)
+		f.nodes, f.cores = append(f.nodes, n), append(f.cores, c)
+		f.list = append(f.list, watch.Instance{
+			Name: string(name), Role: watch.RoleEntry, Region: r, Zone: "z", State: watch.StateLive, Peer: n.Address(),
+		})
+	}
+	for _, n := range f.nodes {
+		n.Sync(f.list)
+	}
+	return f
+}
+
+// settled waits until every node has heard every other one.
+func (f *fleet) settled(t *testing.T) {
+	t.Helper()
+	eventually(t, func() bool {
+		for _, n := range f.nodes {
+			known := 0
+			for _, m := range n.Live() {
+				known += int(min(m.Incarnation, 1))
+			}
+			if !n.Ready() || known != len(f.nodes)-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, patience, poll)
+}
+
+// Guards against a bundle that does not reach every entry, and against a conflict of
+// two bundles with one version that nobody notices.
+func TestBundleSpreads(t *testing.T) {
+	f := start(t)
+	f.settled(t)
+	f.cores[0].Offer([]byte{7, 1})
+	f.nodes[0].Push()
+	for _, c := range f.cores {
+		eventually(t, func() bool { return c.version() == 7 })
+	}
+	f.cores[1].mu.Lock()
+	f.cores[1].mark, f.cores[1].bundle = news.Bundle{Version: 7, Digest: news.Digest{2}}, []byte{7, 2}
+	f.cores[1].mu.Unlock()
+	eventually(t, func() bool {
+		f.cores[0].mu.Lock()
+		defer f.cores[0].mu.Unlock()
+		return f.cores[0].conflicts == 1
+	})
+	require.Equal(t, news.Digest{1}, f.cores[0].News().Bundle.Digest)
+	require.LessOrEqual(t, f.cores[0].offers, 3, "a rejected bundle is not fetched with every probe")
+}
+
+// Guards against urgent news that waits for the next probes.
+func TestPush(t *testing.T) {
+	f := start(t)
+	f.settled(t)
+	f.cores[2].mu.Lock()
+	f.cores[2].departures = []news.Departure{{Endpoint: "r7"}}
+	f.cores[2].mu.Unlock()
+	for range 100 {
+		f.nodes[2].Push()
+	}
+	for _, c := range f.cores[:2] {
+		eventually(t, func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return slices.ContainsFunc(c.heard, func(d news.Departure) bool { return d.Endpoint == "r7" })
+		})
+	}
+}
+
+// Guards against a question that reaches the wrong entry, and against "not run" for a
+// ticket whose owner can't be reached.
+func TestAsk(t *testing.T) {
+	f := start(t)
+	f.settled(t)
+	issued := f.cores[1].ledger.Issue(1, "orders", "", clock.Minute)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	o, err := f.nodes[0].Ask(ctx, issued)
+	require.NoError(t, err)
+	require.Equal(t, ledger.Void, o.State)
+	f.nodes[1].Close()
+	_, err = f.nodes[0].Ask(ctx, issued)
+	require.Equal(t, peer.Unreachable, fault.KindOf[peer.Kind](err))
+	eventually(t, func() bool { return len(f.nodes[0].Live()) == 1 })
+}
+
+// Guards against outcomes that are lost when an entry leaves: another peer takes over
+// if the first one declines, and every other entry learns which.
+func TestLeave(t *testing.T) {
+	f := start(t)
+	f.settled(t)
+	l := f.cores[0].ledger
+	ran := l.Issue(1, "orders", "", clock.Minute)
+	unseen := l.Issue(1, "orders", "", clock.Minute)
+	require.Equal(t, ledger.Run, l.Begin(1, ran, "q1").Kind)
+	l.Finish(1, ran.Sequence, ledger.Outcome{State: ledger.Done, Answer: ledger.Answer{Status: 201}})
+	f.cores[2].mu.Lock()
+	f.cores[2].adopts = false
+	f.cores[2].mu.Unlock()
+	f.nodes[0].Drain()
+	eventually(t, func() bool { return len(f.nodes[1].Live()) == 1 })
+
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	require.NoError(t, f.nodes[0].Leave(ctx, l.Seal(1)))
+	f.nodes[0].Close()
+	require.Len(t, f.cores[1].adopted, 1)
+	for _, n := range f.nodes[1:] {
+		eventually(t, func() bool {
+			o, err := n.Ask(ctx, ran)
+			return err == nil && o.State == ledger.Done && o.Answer.Status == 201
+		})
+		o, err := n.Ask(ctx, unseen)
+		require.NoError(t, err)
+		require.Equal(t, ledger.Void, o.State)
+	}
+}
+
+// Guards against an entry that leaves and reports success although nobody has its ledger.
+func TestLeaveAlone(t *testing.T) {
+	f := start(t)
+	f.settled(t)
+	f.nodes[1].Close()
+	f.nodes[2].Close()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	err := f.nodes[0].Leave(ctx, f.cores[0].ledger.Seal(1))
+	require.Equal(t, peer.Orphaned, fault.KindOf[peer.Kind](err))
+	require.False(t, f.nodes[0].Ready())
+}
+
+// Guards against a process with another secret that gets news or counts as a peer.
+func TestStrangerIsNoPeer(t *testing.T) {
+	f := start(t, wire.Secrets{Current: []byte("the secret of another fleet")})
+	f.cores[0].Offer([]byte{9, 9})
+	for _, n := range f.nodes[1:] {
+		eventually(t, func() bool { return len(n.Live()) == 1 && n.Ready() })
+	}
+	eventually(t, f.nodes[0].Ready)
+	require.Zero(t, f.cores[1].version())
+	require.Zero(t, f.cores[2].version())
+}
+
+// Guards against a second process that answers at the address of another entry.
+func TestAddressOfAnotherEntry(t *testing.T) {
+	f := start(t)
+	wrong := slices.Clone(f.list)
+	wrong[1].Peer = f.list[2].Peer
+	f.nodes[0].Sync(wrong)
+	f.nodes[1].Close()
+	eventually(t, func() bool {
+		live := f.nodes[0].Live()
+		return len(live) == 1 && live[0].Entry == "e2"
+	})
+}
+
+// Guards against a start that succeeds without a listener or secret.
+func TestStartErrors(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	good := peer.Config{
+		Self: news.Member{Entry: "e", Incarnation: 1}, Listen: "127.0.0.1:0", Core: &core{},
+		Secrets: wire.Secrets{Current: []byte("the secret of the fleet")},
+	}
+	for name, change := range map[string]func(*peer.Config){
+		"no name":   func(c *peer.Config) { c.Self.Entry = "" },
+		"no core":   func(c *peer.Config) { c.Core = nil },
+		"no secret": func(c *peer.Config) { c.Secrets = wire.Secrets{} },
+		"port used": func(c *peer.Config) { c.Listen = l.Addr().String() },
+	} {
+		c := good
+		change(&c)
+		_, err := peer.Start(t.Context(), c)
+		require.Equal(t, peer.Invalid, fault.KindOf[peer.Kind](err), name)
+	}
+}
--- a/wire/client.go
+++ b/wire/client.go
@@ -40,8 +40,10 @@
 
 // Client keeps one connection to each address that is in use.
 type Client struct {
-	c   ClientConfig
-	tls *tls.Config
+	c      ClientConfig
+	tls    *tls.Config
+	ctx    context.Context // ends the dials in progress on Close
+	cancel context.CancelFunc
 
 	mu     sync.Mutex
 	links  map[string]*link
@@ -63,7 +65,9 @@
 	if c.Connections == 0 {
 		c.Connections = DefaultConnections
 	}
-	return &Client{c: c, tls: k.client(), links: make(map[string]*link)}, nil
+	made := &Client{c: c, tls: k.client(), links: make(map[string]*link)}
+	made.ctx, made.cancel = context.WithCancel(context.Background())
+	return made, nil
 }
 
 // Call sends a request to an address and waits for its answer. Kind Unreachable means
@@ -96,6 +100,7 @@
 
 // Close ends all connections; calls in progress fail.
 func (c *Client) Close() {
+	c.cancel()
 	c.mu.Lock()
 	c.closed = true
 	links := c.links
@@ -172,7 +177,7 @@
 }
 
 func (c *Client) dial(address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.c.Dial.Duration())
+	ctx, cancel := context.WithTimeout(c.ctx, c.c.Dial.Duration())
 	defer cancel()
 	var d net.Dialer
 	raw, err := d.DialContext(ctx, "tcp", address)
