fix(caller): locate as entries answer it

Cause: a run of the commands against a stage showed that entries answer locate without a request id, and need the call with a plain service; every locate of the client failed. Change: a locate answer may lack the id, though not carry another one; locate requests of a call name it. The entries kept serve all calls of the service and home.

--- a/caller/call.go
+++ b/caller/call.go
@@ -62,6 +62,7 @@
 
 func (c *Client) call(ctx context.Context, ticket, method, path string, body []byte) (Outcome, error) {
 	o := order{c: c, trip: trip{c: c}, method: method, path: path, body: body, id: c.requestID()}
+	o.trip.call = o.name()
 	o.out.Ticket = ticket
 	o.doubt = ticket != ""
 	if !strings.HasPrefix(path, "/") {
--- a/caller/client.go
+++ b/caller/client.go
@@ -171,6 +171,9 @@
 	try                   ident.Try
 	ticket                string
 	accept                string
+	// anonymous accepts an answer without a request id; one with another id is
+	// rejected all the same.
+	anonymous bool
 }
 
 // reply is what came back.
@@ -197,7 +200,7 @@
 	if err != nil {
 		return reply{written: written.Load()}, fault.Wrap("send", unanswered(written.Load()), err)
 	}
-	if got := answer.Header.Get(HeaderRequest); got != string(s.request) {
+	if got := answer.Header.Get(HeaderRequest); got != string(s.request) && (got != "" || !s.anonymous) {
 		_ = answer.Body.Close()
 		return reply{written: true}, fault.Newf("send", Crossed, "answer to request %q, not %q", got, s.request)
 	}
--- a/caller/locate.go
+++ b/caller/locate.go
@@ -26,9 +26,18 @@
 // service; with a call every answer is fresh, because it may hold a ticket.
 func (c *Client) Locate(ctx context.Context, call string) (Location, error) {
 	if call == "" {
-		if l, ok := c.book.cached(c.config.Clock.Now()); ok {
-			return l, nil
-		}
+		return c.entries(ctx, "")
+	}
+	l, _, err := c.locate(ctx, call)
+	return l, err
+}
+
+// entries returns the entries to use. They depend on the service and the home
+// only, so that an answer for one call is good for all; the call is named
+// because entries ask for it with a plain service.
+func (c *Client) entries(ctx context.Context, call string) (Location, error) {
+	if l, ok := c.book.cached(c.config.Clock.Now()); ok {
+		return l, nil
 	}
 	l, _, err := c.locate(ctx, call)
 	return l, err
@@ -69,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askLimit.Duration())
 	defer cancel()
 	s := send{address: address, method: http.MethodGet, path: c.locatePath(call)}
-	s.request, s.try = ident.Request(c.requestID()), 1
+	s.request, s.try, s.anonymous = ident.Request(c.requestID()), 1, true
 	r, err := c.do(ctx, s)
 	if err != nil {
 		return l, err
@@ -190,6 +199,8 @@
 // trip chooses the entry for each send of one request.
 type trip struct {
 	c *Client
+	// call is named in locate requests; empty for completions.
+	call string
 	// queue is asked first, in order: where an entry redirected to.
 	queue []string
 	// avoid are the entries that failed this request.
@@ -204,7 +215,7 @@
 		t.queue = t.queue[1:]
 		return address, nil
 	}
-	l, err := t.c.Locate(ctx, "")
+	l, err := t.c.entries(ctx, t.call)
 	if err != nil {
 		return "", err
 	}
