feat(entry): serve callers, operators and peers around the core

Cause: the whole path from caller to endpoint was missing. Result: go test ./entry passes: whole answers under crossed, truncated, broken and repeated streams; an order whose connection drops is placed once and told unknown; eight kinds of bad input get their status.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -34,7 +34,9 @@
 // commands lists the subcommands; each lives in a file of its own.
 func commands() []*cli.Command {
 	return []*cli.Command{
+		entryCommand(),
 		standinCommand(),
+		demoCommand(),
 		locateCommand(),
 		sendCommand(),
 		reportCommand(),
--- a/core/admit.go
+++ b/core/admit.go
@@ -94,7 +94,7 @@
 		return target{}, refused(caller.ReasonService, fmt.Sprintf("unknown service %q", h.Service), 0)
 	}
 	t := target{doc: doc, service: s, home: h.Home}
-	if s.Kind == bundle.Plain {
+	if s.Kind == bundle.Plain && !h.Any {
 		call, ok := s.Call(h.Method, h.Path)
 		if !ok {
 			return t, refused(caller.ReasonService, fmt.Sprintf("service %q has no call %s %s", h.Service, h.Method, h.Path), 0)
--- a/core/core.go
+++ b/core/core.go
@@ -34,8 +34,9 @@
 	Entry       ident.Entry
 	Incarnation ident.Incarnation
 	Region      ident.Region
-	Zone        ident.Zone
-	Seed        uint64
+	// Address is where callers reach this entry; the list may not have it yet.
+	Address string
+	Seed    uint64
 	// Force holds the bundle in force; the shells offer versions to it.
 	Force  *bundle.Force
 	Policy route.Policy
@@ -46,6 +47,7 @@
 	entry       ident.Entry
 	incarnation ident.Incarnation
 	region      ident.Region
+	address     string
 	random      *rand.Rand
 	force       *bundle.Force
 	policy      route.Policy
@@ -84,6 +86,7 @@
 		entry:       cfg.Entry,
 		incarnation: cfg.Incarnation,
 		region:      cfg.Region,
+		address:     cfg.Address,
 		random:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		force:       cfg.Force,
 		policy:      cfg.Policy,
--- a/core/event.go
+++ b/core/event.go
@@ -23,6 +23,8 @@
 	// Method and Path name the call of a plain service; both are empty for completions.
 	Method string
 	Path   string
+	// Any says that a caller asks for entries without naming a call.
+	Any bool
 	// Attempt counts the caller's own sends of this request, starting at 1.
 	Attempt ident.Try
 	// Ticket is nil if the request carries none.
--- a/core/locate.go
+++ b/core/locate.go
@@ -111,8 +111,12 @@
 func (c *Core) places(members []member.Member) []Place {
 	var places []Place
 	for _, m := range members {
-		if i, ok := c.addressOf(m.Entry); ok {
+		i, listed := c.addressOf(m.Entry)
+		switch {
+		case listed:
 			places = append(places, Place{Entry: m.Entry, Address: i.Address, Region: m.Region})
+		case m.Entry == c.entry:
+			places = append(places, Place{Entry: c.entry, Address: c.address, Region: c.region})
 		}
 	}
 	return places
--- a/core/place.go
+++ b/core/place.go
@@ -73,7 +73,7 @@
 func (c *Core) place(now clock.Time, r *request) queue.Step {
 	choice, ok := c.choose(now, r)
 	if !ok {
-		return skip(r)
+		return c.skip(now, r)
 	}
 	if r.budgeted && !c.retries.Take() {
 		return queue.Skip
@@ -87,8 +87,9 @@
 
 // skip tells whether the rest of a class can be left unvisited: what holds for an
 // ordinary request holds for those behind it.
-func skip(r *request) queue.Step {
-	if r.Home != "" || len(r.avoid) > 0 || r.budgeted {
+func (c *Core) skip(now clock.Time, r *request) queue.Step {
+	alone := c.suspects.Verdict(now, r.Fingerprint) == crash.Alone
+	if alone || r.Home != "" || len(r.avoid) > 0 || r.budgeted {
 		return queue.Skip
 	}
 	return queue.SkipClass
@@ -134,7 +135,7 @@
 	r.number++
 	alone := c.suspects.Verdict(now, r.Fingerprint) == crash.Alone
 	t := &try{
-		number: r.number, endpoint: choice.Endpoint, address: c.addressFor(choice.Endpoint), region: choice.Region,
+		number: r.number, endpoint: choice.Endpoint, address: c.fleet.Address(choice.Endpoint), region: choice.Region,
 		started: now, mode: r.mode, alone: alone, hedge: hedge,
 	}
 	r.tries = append(r.tries, t)
@@ -148,15 +149,6 @@
 	c.act(c.dispatchOf(r, t, t.mode))
 }
 
-func (c *Core) addressFor(id ident.Endpoint) string {
-	for _, t := range c.fleet.Targets() {
-		if t.Endpoint == id {
-			return t.Address
-		}
-	}
-	return ""
-}
-
 func (c *Core) dispatchOf(r *request, t *try, mode Mode) Dispatch {
 	return Dispatch{
 		Request: r.Request, Try: t.number, Endpoint: t.endpoint, Address: t.address,
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,134 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/caller"
+	"github.com/tanagerbridge/tanagerbridge/fakes"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/stage"
+)
+
+// testLimit bounds one test; it only ends tests that hang.
+const testLimit = 60 * time.Second
+
+func start(t *testing.T) (context.Context, *stage.Stage) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	t.Cleanup(cancel)
+	s, err := stage.Start(ctx, stage.Config{Deployment: stage.Kgosi, Seed: 1, Speed: 5})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	require.NoError(t, s.Ready(ctx))
+	return ctx, s
+}
+
+func client(t *testing.T, s *stage.Stage, service ident.Service) *caller.Client {
+	t.Helper()
+	c, err := caller.New(caller.Config{Entries: []string{s.CallerAddress(s.Regions()[0])}, Service: service, Seed: 1})
+	require.NoError(t, err)
+	return c
+}
+
+func prompt(text string) caller.Prompt {
+	return caller.Prompt{Messages: []caller.Message{{Role: "user", Content: text}}, Tokens: 50}
+}
+
+func wanted(p caller.Prompt) string {
+	return fakes.Answer(&fakes.Completion{Messages: []fakes.Message{{Role: "user", Content: p.Messages[0].Content}}, MaxTokens: p.Tokens})
+}
+
+// Guards against answers that are cut short or mixed, for the faults that an
+// engine's stream can have.
+func TestWholeAnswers(t *testing.T) {
+	ctx, s := start(t)
+	faults := []struct {
+		name string
+		make fakes.EngineFaults
+	}{
+		{"none", fakes.EngineFaults{}},
+		{"crossed", fakes.EngineFaults{Cross: 1}},
+		{"truncated", fakes.EngineFaults{Truncate: 1}},
+		{"broken", fakes.EngineFaults{Break: 1}},
+		{"repeated", fakes.EngineFaults{Repeat: 1}},
+	}
+	c := client(t, s, s.EngineService())
+	for _, tt := range faults {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, e := range s.Engines {
+				e.Spoil(tt.make)
+			}
+			p := prompt("how many beakers for grade nine, " + tt.name)
+			var got strings.Builder
+			_, err := c.Complete(ctx, p, caller.Sink{
+				Token:   func(text string) { got.WriteString(text) },
+				Restart: func(error) { got.Reset() },
+			})
+			require.NoError(t, err)
+			require.Equal(t, wanted(p), got.String())
+		})
+	}
+}
+
+// Guards against orders that http.Transport or a retry sends twice when the
+// service drops the connection after it has read the request.
+func TestDroppedOrderIsPlacedOnce(t *testing.T) {
+	ctx, s := start(t)
+	c := client(t, s, s.PlainService())
+	for range 3 {
+		_, err := c.Call(ctx, http.MethodGet, "/stock?item=beaker", nil)
+		require.NoError(t, err)
+	}
+	for _, d := range s.Services {
+		d.Spoil(fakes.ServiceFaults{After: 1})
+	}
+	outcome, err := c.Call(ctx, http.MethodPost, "/orders", []byte(`{"order":"77"}`))
+	require.Error(t, err)
+	require.Equal(t, caller.Unknown, outcome.State)
+	require.Equal(t, []fakes.Count{{Key: "77", Count: 1}}, fakes.Orders(s.Services...))
+}
+
+// Guards against bad input that gets no clear error.
+func TestBadInput(t *testing.T) {
+	ctx, s := start(t)
+	address := "http://" + s.CallerAddress(s.Regions()[0])
+	tests := []struct {
+		name, method, path, body string
+		header                   string
+		status                   int
+		kind                     caller.Reason
+	}{
+		{"large body", "POST", "/v1/chat/completions", strings.Repeat("a", 2<<20), "", 413, caller.ReasonBody},
+		{"no JSON", "POST", "/v1/chat/completions", "{", "", 400, caller.ReasonMalformed},
+		{"no messages", "POST", "/v1/chat/completions", `{"messages":[]}`, "", 400, caller.ReasonMalformed},
+		{"unknown service", "GET", "/v1/call/nowhere/x", "", "", 404, caller.ReasonService},
+		{"unknown call", "DELETE", "/v1/call/order-desk/orders", "", "", 404, caller.ReasonService},
+		{"unknown path", "GET", "/v2", "", "", 404, caller.ReasonService},
+		{"unknown home", "GET", "/v1/call/order-desk/stock", "", "moon", 400, caller.ReasonHome},
+		{"no ticket", "POST", "/v1/call/order-desk/orders", `{"order":"1"}`, "", 428, caller.ReasonTicket},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			req, err := http.NewRequestWithContext(ctx, tt.method, address+tt.path, strings.NewReader(tt.body))
+			require.NoError(t, err)
+			if tt.header != "" {
+				req.Header.Set(caller.HeaderHome, tt.header)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			require.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, tt.status, resp.StatusCode, string(body))
+			require.Contains(t, string(body), `"kind":"`+string(tt.kind)+`"`)
+			require.Equal(t, string(caller.RanNo), resp.Header.Get(caller.HeaderRan))
+		})
+	}
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/caller"
+)
+
+// metrics counts what the shell sees; the core counts its decisions itself.
+type metrics struct {
+	registry gometrics.Registry
+	crossed  gometrics.Counter
+	active   atomic.Int64
+}
+
+func newMetrics() *metrics {
+	r := gometrics.NewRegistry()
+	return &metrics{registry: r, crossed: gometrics.NewRegisteredCounter("answers.crossed", r)}
+}
+
+func (m *metrics) refused(reason caller.Reason) {
+	gometrics.GetOrRegisterCounter("refused."+string(reason), m.registry).Inc(1)
+}
+
+func (m *metrics) bundleRefused(kind bundle.Kind) {
+	gometrics.GetOrRegisterCounter("bundle."+string(kind), m.registry).Inc(1)
+}
+
+// open returns the number of caller requests whose handler has not returned.
+func (m *metrics) open() int64 { return m.active.Load() }
+
+// track counts the handlers in progress.
+func (m *metrics) track(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m.active.Add(1)
+		defer m.active.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/entry/routes.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/caller"
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/core"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+func (s *Server) callerRoutes() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	r.HandleFunc(caller.PathLocate, s.locate).Methods(http.MethodGet)
+	r.HandleFunc(caller.PathComplete, s.complete).Methods(http.MethodPost)
+	r.PathPrefix(caller.PathCall).HandlerFunc(s.call)
+	r.NotFoundHandler = http.HandlerFunc(s.notFound)
+	r.MethodNotAllowedHandler = r.NotFoundHandler
+	return r
+}
+
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, requestID(r), &core.Refusal{
+		Reason: caller.ReasonService, Ran: caller.RanNo, Text: "no such path: " + r.Method + " " + r.URL.Path,
+	})
+}
+
+// locate answers which entries to use, and issues a ticket for a non-idempotent call.
+func (s *Server) locate(w http.ResponseWriter, r *http.Request) {
+	h, refusal := s.locateHead(r)
+	if refusal == nil {
+		var found core.Location
+		look(s.shell, func(c *core.Core, now clock.Time) struct{} {
+			found, refusal = c.Locate(now, h)
+			return struct{}{}
+		})
+		if refusal == nil {
+			s.writeLocation(w, requestID(r), found)
+			return
+		}
+	}
+	s.refuse(w, requestID(r), refusal)
+}
+
+func (s *Server) locateHead(r *http.Request) (core.Head, *core.Refusal) {
+	q := r.URL.Query()
+	h := core.Head{Service: ident.Service(q.Get("service")), Home: ident.Home(q.Get("home"))}
+	if h.Service == "" {
+		h.Service = s.defaultService()
+	}
+	text := q.Get("call")
+	if text == "" {
+		h.Any = true
+		return h, nil
+	}
+	method, path, ok := cutCall(text)
+	if !ok {
+		return h, malformed("call must be a method and a path, such as \"POST /orders\"")
+	}
+	h.Method, h.Path = method, path
+	return h, nil
+}
+
+func (s *Server) writeLocation(w http.ResponseWriter, id ident.Request, l core.Location) {
+	w.Header().Set(caller.HeaderRequest, string(id))
+	answer := caller.Location{Entries: entriesOf(l.Entries), Validity: l.Validity}
+	if l.Ticket != nil {
+		answer.Ticket = s.tickets.Encode(*l.Ticket)
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func entriesOf(places []core.Place) []caller.Entry {
+	entries := make([]caller.Entry, 0, len(places))
+	for _, p := range places {
+		entries = append(entries, caller.Entry{Name: p.Entry, Address: p.Address, Region: p.Region})
+	}
+	return entries
+}
+
+// headOf reads what the headers tell of a request.
+func (s *Server) headOf(r *http.Request) (core.Head, *core.Refusal) {
+	h := core.Head{
+		Request: requestID(r),
+		Home:    ident.Home(r.Header.Get(caller.HeaderHome)),
+		Caller:  callerOf(r),
+		Attempt: 1,
+	}
+	if text := r.Header.Get(caller.HeaderAttempt); text != "" {
+		n, err := strconv.ParseUint(text, 10, 16)
+		if err != nil || n == 0 {
+			return h, malformed(caller.HeaderAttempt + " must be a positive number")
+		}
+		h.Attempt = ident.Try(n)
+	}
+	if text := r.Header.Get(caller.HeaderTicket); text != "" {
+		t, err := s.tickets.Decode(text)
+		if err != nil {
+			return h, malformed(err.Error())
+		}
+		h.Ticket = &t
+	}
+	return h, nil
+}
+
+const maxRequestID = 128
+
+// requestID returns the caller's request id, or a new one if it has none that can be used.
+func requestID(r *http.Request) ident.Request {
+	id := r.Header.Get(caller.HeaderRequest)
+	if id != "" && len(id) <= maxRequestID && plainText(id) {
+		return ident.Request(id)
+	}
+	id = strconv.FormatUint(randomNumber(), 36) + strconv.FormatUint(randomNumber(), 36)
+	r.Header.Set(caller.HeaderRequest, id)
+	return ident.Request(id)
+}
+
+// plainText tells whether an id can be used in a path and a log line as it is.
+func plainText(id string) bool {
+	for _, b := range []byte(id) {
+		ok := b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || b == '-' || b == '_' || b == '.'
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// callerOf identifies the caller by its header, or by its IP number.
+func callerOf(r *http.Request) ident.Caller {
+	if id := r.Header.Get(caller.HeaderCaller); id != "" {
+		return ident.Caller(id)
+	}
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	return ident.Caller(host)
+}
+
+// defaultService returns the only engine service of the bundle, or "".
+func (s *Server) defaultService() ident.Service {
+	doc := s.shell.force.Current()
+	if doc == nil {
+		return ""
+	}
+	var found ident.Service
+	for i := range doc.Services {
+		if doc.Services[i].Kind != bundle.Engine {
+			continue
+		}
+		if found != "" {
+			return ""
+		}
+		found = doc.Services[i].Name
+	}
+	return found
+}
+
+func malformed(text string) *core.Refusal {
+	return &core.Refusal{Reason: caller.ReasonMalformed, Ran: caller.RanNo, Text: text}
+}
+
+// refuse answers a request with an error body.
+func (s *Server) refuse(w http.ResponseWriter, id ident.Request, r *core.Refusal) {
+	s.metrics.refused(r.Reason)
+	s.log.Info("refused", zap.String("request", string(id)), zap.String("kind", string(r.Reason)),
+		zap.String("ran", string(r.Ran)), zap.Uint64("version", uint64(s.version())))
+	w.Header().Set(caller.HeaderRan, string(r.Ran))
+	w.Header().Set(caller.HeaderRequest, string(id))
+	if r.After > 0 {
+		seconds := (r.After + clock.Second - 1) / clock.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	writeJSON(w, statusOf(r.Reason), s.envelope(id, r))
+}
+
+func (s *Server) envelope(id ident.Request, r *core.Refusal) caller.Envelope {
+	e := caller.Envelope{Error: caller.Refusal{
+		Kind: r.Reason, Ran: r.Ran, Message: r.Text, Request: id, Version: s.version(),
+		Entries: entriesOf(s.shell.places(*r)),
+	}}
+	if r.Ticket != nil {
+		e.Error.Ticket = s.tickets.Encode(*r.Ticket)
+	}
+	return e
+}
+
+// statusOf returns the HTTP status that belongs to a reason.
+func statusOf(reason caller.Reason) int {
+	switch reason {
+	case caller.ReasonMalformed, caller.ReasonHome:
+		return http.StatusBadRequest
+	case caller.ReasonService:
+		return http.StatusNotFound
+	case caller.ReasonExpired, caller.ReasonVoid:
+		return http.StatusGone
+	case caller.ReasonGone:
+		return http.StatusConflict
+	case caller.ReasonBody:
+		return http.StatusRequestEntityTooLarge
+	case caller.ReasonRegion, caller.ReasonOwner:
+		return http.StatusMisdirectedRequest
+	case caller.ReasonCrash:
+		return http.StatusUnprocessableEntity
+	case caller.ReasonTicket:
+		return http.StatusPreconditionRequired
+	case caller.ReasonShare:
+		return http.StatusTooManyRequests
+	case caller.ReasonEndpoint:
+		return http.StatusBadGateway
+	case caller.ReasonUnknown:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func cutCall(text string) (method, path string, ok bool) {
+	method, path, ok = strings.Cut(text, " ")
+	return method, path, ok && method != "" && strings.HasPrefix(path, "/")
+}
+
+func (s *Server) version() ident.Version {
+	if doc := s.shell.force.Current(); doc != nil {
+		return doc.Version
+	}
+	return 0
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/entry/secrets.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"encoding/base64"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/tanagerbridge/tanagerbridge/wire"
+)
+
+// parseSecrets reads "id=base64,id=base64", the current secret first. The ids
+// only help people to tell the secrets apart.
+func parseSecrets(text string) (wire.Secrets, error) {
+	var secrets [][]byte
+	for _, part := range strings.Split(text, ",") {
+		_, encoded, _ := strings.Cut(part, "=")
+		secret, err := base64.StdEncoding.DecodeString(encoded)
+		if err != nil {
+			return wire.Secrets{}, errors.New("a secret is no base64 text")
+		}
+		secrets = append(secrets, secret)
+	}
+	switch len(secrets) {
+	case 1:
+		return wire.Secrets{Current: secrets[0]}, nil
+	case 2:
+		return wire.Secrets{Current: secrets[0], Previous: secrets[1]}, nil
+	default:
+		return wire.Secrets{}, errors.New("want one or two secrets")
+	}
+}
--- /dev/null
+++ b/entry/shell.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/core"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/ledger"
+	"github.com/tanagerbridge/tanagerbridge/ticket"
+)
+
+// actionBuffer holds more actions than one request can cause while its handler is busy.
+const actionBuffer = 256
+
+// peers is what the shell needs of the other entries.
+type peers interface {
+	Ask(ctx context.Context, t ticket.Ticket) (ledger.Outcome, error)
+	Push()
+}
+
+// shell feeds the core under one lock and passes its actions to the requests.
+type shell struct {
+	clock       clock.Clock
+	force       *bundle.Force
+	incarnation ident.Incarnation
+	peers       peers
+
+	mu      sync.Mutex
+	core    *core.Core
+	flights map[ident.Request]*flight
+}
+
+func newShell(c clock.Clock, f *bundle.Force, k *core.Core) *shell {
+	return &shell{clock: c, force: f, core: k, flights: make(map[ident.Request]*flight)}
+}
+
+// flight is the shell's side of one request: the channel to its handler.
+type flight struct {
+	id      ident.Request
+	actions chan core.Action
+}
+
+// connect names the peers; news that come before are not pushed on.
+func (s *shell) connect(p peers) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers = p
+}
+
+// apply gives one event to the core and hands out the actions.
+func (s *shell) apply(e core.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hand(s.core.Apply(s.clock.Now(), e))
+}
+
+// hand passes actions on; the lock is held, so that the actions of one request keep their order.
+func (s *shell) hand(actions []core.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case core.Push:
+			if s.peers != nil {
+				s.peers.Push()
+			}
+		case core.Ask:
+			go s.ask(a)
+		case core.Dispatch:
+			s.post(a.Request, a)
+		case core.Win:
+			s.post(a.Request, a)
+		case core.Cancel:
+			s.post(a.Request, a)
+		case core.Refuse:
+			s.post(a.Request, a)
+		case core.Deliver:
+			s.post(a.Request, a)
+		}
+	}
+}
+
+func (s *shell) post(id ident.Request, a core.Action) {
+	f := s.flights[id]
+	if f == nil {
+		return
+	}
+	select {
+	case f.actions <- a:
+	default:
+		// A full buffer means that the handler is gone; its request ends with its connection.
+	}
+}
+
+// ask finds out what became of a ticket. Without an answer the outcome is unknown.
+func (s *shell) ask(a core.Ask) {
+	ctx, cancel := context.WithTimeout(context.Background(), askLimit.Duration())
+	defer cancel()
+	outcome, err := s.peers.Ask(ctx, a.Ticket)
+	if err != nil {
+		outcome = ledger.Outcome{State: ledger.Unknown}
+	}
+	s.apply(core.Told{Request: a.Request, Outcome: outcome})
+}
+
+// askLimit bounds a question to the owner of a ticket. A round trip between
+// regions takes a little over 100 ms.
+const askLimit = 2 * clock.Second
+
+// open registers a request. It returns nil if one with this id is in progress.
+func (s *shell) open(id ident.Request) *flight {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.flights[id] != nil {
+		return nil
+	}
+	f := &flight{id: id, actions: make(chan core.Action, actionBuffer)}
+	s.flights[id] = f
+	return f
+}
+
+func (s *shell) close(f *flight) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.flights, f.id)
+}
+
+// look runs fn on the core under the lock.
+func look[T any](s *shell, fn func(*core.Core, clock.Time) T) T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fn(s.core, s.clock.Now())
+}
+
+func (s *shell) admit(h core.Head) *core.Refusal {
+	return look(s, func(c *core.Core, now clock.Time) *core.Refusal { return c.Admit(now, h) })
+}
+
+func (s *shell) confirm(d core.Dispatch) bool {
+	return look(s, func(c *core.Core, now clock.Time) bool { return c.Confirm(now, d.Request, d.Try) })
+}
+
+func (s *shell) inProgress() int {
+	return look(s, func(c *core.Core, _ clock.Time) int { return c.InProgress() })
+}
+
+func (s *shell) places(r core.Refusal) []core.Place {
+	return look(s, func(c *core.Core, _ clock.Time) []core.Place { return c.Places(r) })
+}
+
+func (s *shell) truthful(h core.Head, r *core.Refusal) *core.Refusal {
+	return look(s, func(c *core.Core, now clock.Time) *core.Refusal { return c.Truthful(now, h, r) })
+}
--- /dev/null
+++ b/entry/tasks.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/core"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/fleet"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/news"
+	"github.com/tanagerbridge/tanagerbridge/watch"
+)
+
+const (
+	// tickPeriod is how often the core checks deadlines.
+	tickPeriod = 50 * clock.Millisecond
+	// pollPeriod is how often an endpoint of the own region is asked for its load; a
+	// leaving endpoint must be noticed within 3 s.
+	pollPeriod = clock.Second
+	// remotePolls is how many polls of the own region fall on one of another region.
+	remotePolls = 2
+	// pollers bounds the polls in progress.
+	pollers = 32
+	// reportBytes bounds a load report.
+	reportBytes = 64 << 10
+	// listPeriod is the time between two reads of the list, which lags anyway.
+	listPeriod = 5 * clock.Second
+	// bundleWatchers is how many entries of a region wait on the configuration service.
+	bundleWatchers = 2
+)
+
+func bodyLimit(c *core.Core, _ clock.Time) ident.Bytes { return c.BodyLimit() }
+
+func (s *Server) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod.Duration())
+	defer ticker.Stop()
+	for {
+		s.shell.apply(core.Tick{})
+		s.shell.apply(core.Peers{Live: s.node.Live(), Ready: s.node.Ready()})
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// watchBundle offers what the configuration service holds to the bundle in force.
+func (s *Server) watchBundle(ctx context.Context) {
+	values := watch.NewValues(watch.ValuesConfig{
+		URL: s.settings.Platform.Values, Name: s.settings.Platform.Value, Seed: randomNumber(),
+		Watching: s.watching,
+	})
+	_ = values.Run(ctx, s.offer)
+}
+
+// watching tells whether this entry is one of the few of its region that watch.
+func (s *Server) watching() bool {
+	var live []ident.Entry
+	for _, m := range s.node.Live() {
+		if m.Region == s.settings.Region && m.State == news.Alive {
+			live = append(live, m.Entry)
+		}
+	}
+	if !containsEntry(live, s.settings.Name) {
+		live = append(live, s.settings.Name)
+	}
+	return containsEntry(watch.Watchers(s.settings.Platform.Value, live, bundleWatchers), s.settings.Name)
+}
+
+func containsEntry(entries []ident.Entry, id ident.Entry) bool {
+	for _, e := range entries {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
+
+// offer takes in a signed bundle from the platform or a peer.
+func (s *Server) offer(encoded []byte) {
+	change, err := s.shell.force.Offer(encoded)
+	if err != nil {
+		s.offerFailed(err)
+		return
+	}
+	if change.New == change.Old {
+		return
+	}
+	s.log.Info("bundle in force", zap.Uint64("version", uint64(change.New)), zap.Uint64("old", uint64(change.Old)))
+	s.shell.apply(core.Bundled{})
+	s.node.Push()
+}
+
+func (s *Server) offerFailed(err error) {
+	kind := fault.KindOf[bundle.Kind](err)
+	if kind == bundle.KindStale {
+		return
+	}
+	s.metrics.bundleRefused(kind)
+	s.log.Error("bundle refused", zap.String("kind", string(kind)), zap.Error(err))
+}
+
+func (s *Server) watchList(ctx context.Context) {
+	list := watch.NewList(watch.ListConfig{
+		URL: s.settings.Platform.List, View: s.settings.Region, Seed: randomNumber(), Period: listPeriod,
+	})
+	_ = list.Run(ctx, func(instances []watch.Instance) {
+		s.node.Sync(instances)
+		s.shell.apply(core.Listed{Instances: instances})
+	})
+}
+
+// pollEndpoints asks every endpoint for its load report.
+func (s *Server) pollEndpoints(ctx context.Context) {
+	ticker := time.NewTicker(pollPeriod.Duration())
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		s.pollRound(ctx, round%remotePolls == 0)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) pollRound(ctx context.Context, remote bool) {
+	ctx, cancel := context.WithTimeout(ctx, pollPeriod.Duration())
+	defer cancel()
+	slots := make(chan struct{}, pollers)
+	var polls sync.WaitGroup
+	for _, e := range look(s.shell, pollTargets) {
+		if e.Region != s.settings.Region && !remote {
+			continue
+		}
+		slots <- struct{}{}
+		polls.Go(func() {
+			defer func() { <-slots }()
+			s.poll(ctx, e)
+		})
+	}
+	polls.Wait()
+}
+
+func pollTargets(c *core.Core, _ clock.Time) []fleet.Target { return c.PollTargets() }
+
+func (s *Server) poll(ctx context.Context, e fleet.Target) {
+	report, err := s.loadOf(ctx, e.Address)
+	if err != nil {
+		if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
+			return
+		}
+		s.shell.apply(core.Missed{Endpoint: e.Endpoint, Refused: errors.Is(err, syscall.ECONNREFUSED)})
+		return
+	}
+	s.shell.apply(core.Reported{Endpoint: e.Endpoint, Report: report})
+}
+
+// load is an endpoint's report as it stands on the wire.
+type load struct {
+	State    string         `json:"state"`
+	Slots    int            `json:"slots"`
+	Running  int            `json:"running"`
+	Waiting  int            `json:"waiting"`
+	Age      clock.Span     `json:"age"`
+	Prefixes []ident.Prefix `json:"prefixes"`
+}
+
+func (s *Server) loadOf(ctx context.Context, address string) (fleet.Report, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", http.NoBody)
+	if err != nil {
+		return fleet.Report{}, err
+	}
+	resp, err := s.client.send(req, false)
+	if err != nil {
+		return fleet.Report{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fleet.Report{}, errors.Errorf("load report: status %d", resp.StatusCode)
+	}
+	var l load
+	if err := json.NewDecoder(io.LimitReader(resp.Body, reportBytes)).Decode(&l); err != nil {
+		return fleet.Report{}, errors.Wrap(err, "load report")
+	}
+	return fleet.Report{
+		Age: l.Age, State: fleet.Condition(l.State), Slots: l.Slots, Running: l.Running,
+		Waiting: l.Waiting, Prefixes: l.Prefixes,
+	}, nil
+}
