fix(caller): send at once when an entry says where to go

Cause: after a redirect or a fresh ticket the client still paused as after a failure. Change: such a send follows without a pause unless the entry asked for one. Result: go test -race -count 2 ./caller passes; TestRetryAfter checks that no pause is made.

--- a/caller/call.go
+++ b/caller/call.go
@@ -88,6 +88,9 @@
 	asked string
 	// after is the pause that the last entry asked for.
 	after clock.Span
+	// pointed says that the last entry told where to go or gave a fresh ticket, so
+	// that no pause is needed.
+	pointed bool
 	// unkept is the error of Config.Ticketed.
 	unkept error
 }
@@ -95,11 +98,14 @@
 func (o *order) run(ctx context.Context) (Outcome, error) {
 	for {
 		o.out.Attempts++
-		o.after = 0
+		o.after, o.pointed = 0, false
 		err := o.once(ctx)
 		if err == nil || o.out.State == Done || !o.again(ctx, err) {
 			return o.end(err)
 		}
+		if o.pointed && o.after == 0 {
+			continue
+		}
 		if stopped := o.c.pause(ctx, o.out.Attempts, o.after); stopped != nil {
 			return o.end(err)
 		}
@@ -258,6 +264,7 @@
 	o.trip.leave(address, true)
 	if len(r.Entries) > 0 {
 		o.trip.redirect(r.Entries)
+		o.pointed = true
 	}
 	if r.Ran != RanNo {
 		return
@@ -288,5 +295,6 @@
 	o.take(ticket)
 	if ticket != "" {
 		o.trip.queue = []string{address}
+		o.pointed = true
 	}
 }
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -245,7 +245,8 @@
 	require.Equal(t, caller.Unreachable, kindOf(err))
 }
 
-// Guards against sends that come sooner than the entry asked for.
+// Guards against sends that come sooner than the entry asked for, and against
+// pauses after an entry said where to go.
 func TestRetryAfter(t *testing.T) {
 	var waits []clock.Span
 	d := newDesk(t, "drop ok", true)
@@ -254,6 +255,12 @@
 	require.Len(t, waits, 1)
 	require.Less(t, waits[0], clock.Second)
 
+	waits = nil
+	d = newDesk(t, "421/region/no+B 410/void/no+ticket ok", true)
+	_, err = d.client(t, &waits).Call(t.Context(), http.MethodPost, "/orders", nil)
+	require.NoError(t, err)
+	require.Empty(t, waits)
+
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(caller.HeaderRequest, r.Header.Get(caller.HeaderRequest))
 		w.Header().Set(caller.HeaderRan, "no")
--- a/caller/complete.go
+++ b/caller/complete.go
@@ -103,6 +103,9 @@
 			j.answer.Restarts++
 			j.sink.Restart(err)
 		}
+		if j.after == 0 && len(j.trip.queue) > 0 {
+			continue // an entry said where to go
+		}
 		if stopped := j.c.pause(ctx, j.answer.Attempts, j.after); stopped != nil {
 			return j.answer, err
 		}
