fix(caller): ask the preferred entry for a ticket

Cause: an entry outside the allowed regions names others and gives no ticket, so a home-bound order was first refused with 428. Change: the client asks the first entry named before it sends. Result: go test -race -count 2 ./caller passes with a case for it.

--- a/caller/call.go
+++ b/caller/call.go
@@ -183,6 +183,13 @@
 	if err != nil {
 		return "", err
 	}
+	if preferred := l.Entries[0].Address; l.Ticket == "" && preferred != address {
+		// An entry outside the allowed regions gives no ticket.
+		address = preferred
+		if l, err = o.c.ask(ctx, address, o.name()); err != nil {
+			return "", err
+		}
+	}
 	if l.Ticket == "" {
 		return o.trip.next(ctx)
 	}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -65,7 +66,8 @@
 		return
 	}
 	l := caller.Location{Entries: d.entries, Validity: clock.Minute}
-	if ticketed && strings.HasPrefix(call, http.MethodPost) {
+	allowed := slices.ContainsFunc(d.entries, func(e caller.Entry) bool { return string(e.Name) == name })
+	if ticketed && allowed && strings.HasPrefix(call, http.MethodPost) {
 		l.Ticket = d.ticket(name)
 	}
 	_ = json.NewEncoder(w).Encode(l)
@@ -199,6 +201,12 @@
 	require.Equal(t, "A1", out.Ticket)
 	require.Equal(t, []string{"A", "A A1"}, d.log)
 
+	d = newDesk(t, "ok", true) // A is outside the allowed regions
+	d.entries = d.entries[1:]
+	_, err = d.client(t, nil).Call(t.Context(), http.MethodPost, "/orders", nil)
+	require.NoError(t, err)
+	require.Equal(t, []string{"B B1"}, d.log)
+
 	d = newDesk(t, "502/endpoint/yes ok", true)
 	_, err = d.client(t, nil).Call(t.Context(), http.MethodGet, "/stock", nil)
 	require.NoError(t, err)
