--- a/core/action.go
+++ b/core/action.go
@@ -95,4 +95,8 @@
 	Entries []member.Member
 	// Ticket is a fresh ticket in place of one that can't be run any more.
 	Ticket *ticket.Ticket
+	// Tell says that the peers must know of the accusation before the caller gets
+	// its answer: a caller that sends the request to another entry at once would
+	// otherwise crash a further endpoint.
+	Tell bool
 }
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -119,14 +119,14 @@
 	again := only[core.Dispatch](t, b.Apply(b.now, lost))
 	require.Equal(t, core.Continue, again.Mode)
 	require.NotEqual(t, d.Endpoint, again.Endpoint)
-	require.Positive(t, len(b.News(b.now).Accusations))
+	require.NotEmpty(t, b.News(b.now).Accusations)
 }
 
 // Guards against a second dispatch of a non-idempotent call whose first one broke
 // off, and against telling its caller that it was not run.
 func TestBrokenOrderIsUnknown(t *testing.T) {
 	b := newBench(t, "e1", "r1", 1, 1000)
-	order := b.order(t, "o1")
+	order := b.order(t)
 	d := only[core.Dispatch](t, b.Apply(b.now, order))
 	require.True(t, d.Once)
 	actions := b.Apply(b.now, core.Ended{Request: "o1", Try: d.Try, Outcome: fleet.Broken, Crashed: true})
@@ -143,7 +143,7 @@
 // for only one of them.
 func TestTwoSendsOfOneTicketShareOneExecution(t *testing.T) {
 	b := newBench(t, "e1", "r1", 1, 1000)
-	order := b.order(t, "o1")
+	order := b.order(t)
 	d := only[core.Dispatch](t, b.Apply(b.now, order))
 	second := order
 	second.Request = "o2"
@@ -163,7 +163,7 @@
 // running: the caller would place the order again.
 func TestRefusalOfRunningTicketDoesNotSayNotRun(t *testing.T) {
 	b := newBench(t, "e1", "r1", 1, 1000)
-	order := b.order(t, "o1")
+	order := b.order(t)
 	only[core.Dispatch](t, b.Apply(b.now, order))
 	b.Apply(b.now, core.Peers{Ready: false})
 	order.Request = "o2"
@@ -176,7 +176,7 @@
 // decisions and tickets from before.
 func TestPausedProcessSendsNothing(t *testing.T) {
 	b := newBench(t, "e1", "r1", 1, 1000)
-	d := only[core.Dispatch](t, b.Apply(b.now, b.order(t, "o1")))
+	d := only[core.Dispatch](t, b.Apply(b.now, b.order(t)))
 	require.True(t, b.Confirm(b.now, d.Request, d.Try))
 	b.now = b.now.Add(5 * clock.Second)
 	require.False(t, b.Confirm(b.now, d.Request, d.Try))
@@ -219,11 +219,27 @@
 }
 
 // order locates a ticket at this entry and returns an order that carries it.
-func (b *bench) order(t require.TestingT, id ident.Request) core.Arrived {
-	h := core.Head{Request: id, Service: "desk", Method: "POST", Path: "/orders", Caller: "c", Attempt: 1}
+func (b *bench) order(t require.TestingT) core.Arrived {
+	h := core.Head{Request: "o1", Service: "desk", Method: "POST", Path: "/orders", Caller: "c", Attempt: 1}
 	l, refusal := b.Locate(b.now, h)
 	require.Nil(t, refusal)
 	require.NotNil(t, l.Ticket)
 	h.Ticket = l.Ticket
 	return core.Arrived{Head: h, Fingerprint: 1, Bytes: 10}
 }
+
+// Guards against "not run" for a request that crashed engines before it was refused.
+func TestRefusedCrasherDoesNotSayNotRun(t *testing.T) {
+	b := newBench(t, "e1", "r1", 1, 1000)
+	actions := b.Apply(b.now, chat("a"))
+	for range 2 {
+		d := only[core.Dispatch](t, actions)
+		b.Apply(b.now, core.Ended{Request: "a", Try: d.Try, Outcome: fleet.Broken, Crashed: true})
+		actions = b.Apply(b.now, core.Ended{Request: "a", Try: d.Try, Outcome: fleet.Unreachable, Crashed: true})
+		actions = append(actions, b.wait(clock.Second)...)
+	}
+	refusal := only[core.Refuse](t, actions).Refusal
+	require.Equal(t, caller.ReasonCrash, refusal.Reason)
+	require.Equal(t, caller.RanYes, refusal.Ran)
+	require.True(t, refusal.Tell)
+}
--- a/core/ended.go
+++ b/core/ended.go
@@ -42,6 +42,7 @@
 }
 
 func (c *Core) cancel(now clock.Time, r *request, t *try) {
+	r.ran = true
 	r.drop(t.number)
 	c.fleet.End(now, r.Request, t.number, fleet.Cancelled, r.tokens)
 	c.suspects.Stop(now, r.Fingerprint)
@@ -159,6 +160,7 @@
 
 // lost sends a request elsewhere after its try broke off for good.
 func (c *Core) lost(now clock.Time, r *request, t *try) {
+	r.ran = true
 	c.fleet.End(now, r.Request, t.number, fleet.Broken, r.tokens)
 	c.suspects.Stop(now, r.Fingerprint)
 	r.drop(t.number)
@@ -198,7 +200,10 @@
 	c.counts.Failed++
 	c.record(now, r, 0, false, caller.RanYes)
 	c.requests.remove(r.Request)
-	c.act(Refuse{Request: r.Request, Refusal: Refusal{Reason: caller.ReasonEndpoint, Ran: caller.RanYes, Text: text, After: retryLater}})
+	c.act(Refuse{Request: r.Request, Refusal: Refusal{
+		Reason: caller.ReasonEndpoint, Ran: caller.RanYes, Text: text, After: retryLater,
+		Tell: c.suspects.Verdict(now, r.Fingerprint) != crash.Clear,
+	}})
 }
 
 // refuse answers a request that is not in the table.
@@ -216,7 +221,10 @@
 	if r.once {
 		refusal = c.voided(now, r, refusal)
 	}
-	c.record(now, r, 0, false, caller.RanNo)
+	if r.ran {
+		refusal.Ran = caller.RanYes
+	}
+	c.record(now, r, 0, false, refusal.Ran)
 	c.requests.remove(r.Request)
 	c.refuse(now, r.Request, refusal)
 }
--- a/core/once.go
+++ b/core/once.go
@@ -121,7 +121,7 @@
 	c.settle(now, r, ledger.Outcome{State: ledger.Void})
 	t, _ := c.lookUp(c.force.Current(), r.Head)
 	again := c.fresh(now, t, refusal.Reason, refusal.Text)
-	again.After, again.Entries = refusal.After, refusal.Entries
+	again.After, again.Entries, again.Tell = refusal.After, refusal.Entries, refusal.Tell
 	return again
 }
 
--- a/core/place.go
+++ b/core/place.go
@@ -62,7 +62,9 @@
 func (c *Core) rejectWaiting(now clock.Time, id ident.Request) {
 	r := c.requests.get(id)
 	if c.suspects.Verdict(now, r.Fingerprint) == crash.Refused {
-		c.refuseUnrun(now, r, refused(caller.ReasonCrash, "this request crashed endpoints and is refused for a while", suspectTerm))
+		refusal := refused(caller.ReasonCrash, "this request crashed endpoints and is refused for a while", suspectTerm)
+		refusal.Tell = true
+		c.refuseUnrun(now, r, refusal)
 		return
 	}
 	_, refusal := c.lookUp(c.force.Current(), r.Head)
--- a/core/request.go
+++ b/core/request.go
@@ -39,6 +39,8 @@
 	// joined lists requests that carry the same ticket and wait for this execution.
 	joined []ident.Request
 	gone   bool
+	// ran says that a try was sent which may have been run in part.
+	ran bool
 }
 
 // try is one dispatch of a request.
--- a/entry/call.go
+++ b/entry/call.go
@@ -108,6 +108,9 @@
 	case core.Cancel:
 		p.cancel(a.Try)
 	case core.Refuse:
+		if a.Refusal.Tell {
+			p.server.tellPeers()
+		}
 		p.server.refuse(w, p.flight.id, &a.Refusal)
 		return true
 	case core.Deliver:
--- a/entry/output.go
+++ b/entry/output.go
@@ -146,6 +146,9 @@
 
 // refuse ends the answer with an error: a status before the first event, an error event after it.
 func (o *output) refuse(s *Server, r *core.Refusal) {
+	if r.Tell {
+		s.tellPeers()
+	}
 	if !o.begun {
 		s.refuse(o.w, o.request, r)
 		return
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/core"
 	"github.com/tanagerbridge/tanagerbridge/ledger"
@@ -13,6 +15,13 @@
 	server *Server
 }
 
+// tellPeers waits until the peers have this entry's news, or a short while.
+func (s *Server) tellPeers() {
+	ctx, cancel := context.WithTimeout(context.Background(), askLimit.Duration())
+	defer cancel()
+	s.node.Tell(ctx)
+}
+
 func (p peerCore) News() news.News {
 	return look(p.server.shell, func(c *core.Core, now clock.Time) news.News { return c.News(now) })
 }
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -34,6 +34,7 @@
 	mu       sync.Mutex
 	lag      time.Duration
 	outage   bool
+	silent   bool
 	lists    []listing
 	rewrites []Rewrite
 }
@@ -73,6 +74,13 @@
 	return p.values.set(name, value)
 }
 
+// Silence sets whether the configuration service alone answers 503.
+func (p *Platform) Silence(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = on
+}
+
 // Outage sets whether the configuration service and the list answer 503.
 func (p *Platform) Outage(on bool) {
 	p.mu.Lock()
@@ -120,6 +128,13 @@
 	return r
 }
 
+// mute reports whether the configuration service is out.
+func (p *Platform) mute() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.outage || p.silent
+}
+
 func (p *Platform) down() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/fakes/values.go
+++ b/fakes/values.go
@@ -137,9 +137,9 @@
 		writeError(w, http.StatusBadRequest, "want numbers")
 		return
 	}
-	value, revision := p.values.await(r.Context(), mux.Vars(r)["name"], after, time.Duration(wait)*time.Millisecond, p.down)
+	value, revision := p.values.await(r.Context(), mux.Vars(r)["name"], after, time.Duration(wait)*time.Millisecond, p.mute)
 	switch {
-	case p.down():
+	case p.mute():
 		writeError(w, http.StatusServiceUnavailable, "outage")
 	case revision == 0 && after == 0:
 		writeError(w, http.StatusNotFound, "no such value")
--- a/peer/leave.go
+++ b/peer/leave.go
@@ -81,7 +81,7 @@
 	n.mu.Lock()
 	n.table.Leave(n.now(), heir)
 	n.mu.Unlock()
-	n.announce(ctx)
+	n.Tell(ctx)
 	return err
 }
 
@@ -148,8 +148,9 @@
 	return taken{}, nil
 }
 
-// announce pushes to all live peers and waits for their answers.
-func (n *Node) announce(ctx context.Context) {
+// Tell sends the news to all live members and waits until each has answered or the
+// probe limit has passed. It is for news that must arrive before something else is done.
+func (n *Node) Tell(ctx context.Context) {
 	var wait sync.WaitGroup
 	slots := make(chan struct{}, maxPushes)
 	for _, m := range n.Live() {
--- a/stage/entry.go
+++ b/stage/entry.go
@@ -28,7 +28,7 @@
 type Entry struct {
 	Name   ident.Entry
 	Region ident.Region
-	server *entry.Server
+	server server
 	state  watch.State
 }
 
