fix(core): keep facts about home-bound requests in their regions

Cause: nothing of a home-bound request may leave its regions, but accusations carried its fingerprint to all peers and a handover carried its answer to any heir. Accusations were also unbounded: 4,096 of them are about 120 KB in every probe. Change: an accusation names the regions that may learn of it and the peer shell leaves it out for others; Seal holds answers of home-bound tickets back; a message carries 64 accusations at most. TestBound now checks both bounds, that of memory (4,096) by verdicts instead of by the length of the message.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -243,3 +243,17 @@
 	require.Equal(t, caller.RanYes, refusal.Ran)
 	require.True(t, refusal.Tell)
 }
+
+// Guards against facts about a home-bound request that reach a region outside its home.
+func TestAccusationOfHomeBoundRequestStaysInItsRegions(t *testing.T) {
+	b := newBench(t, "e1", "r1", 1, 1000)
+	a := chat("a")
+	a.Home = "h1"
+	d := only[core.Dispatch](t, b.Apply(b.now, a))
+	b.Apply(b.now, core.Ended{Request: "a", Try: d.Try, Outcome: fleet.Broken, Crashed: true})
+	b.Apply(b.now, core.Ended{Request: "a", Try: d.Try, Outcome: fleet.Unreachable, Crashed: true})
+	told := b.News(b.now).Accusations
+	require.Len(t, told, 1)
+	require.True(t, told[0].Visible("r1"))
+	require.False(t, told[0].Visible("r2"))
+}
--- a/core/ended.go
+++ b/core/ended.go
@@ -151,13 +151,25 @@
 		if r == nil {
 			continue
 		}
-		marks = append(marks, crash.Mark{Fingerprint: r.Fingerprint, Alone: a.Alone})
+		marks = append(marks, crash.Mark{Fingerprint: r.Fingerprint, Alone: a.Alone, Regions: c.bound(r)})
 	}
 	if len(c.suspects.Crashed(now, marks)) > 0 {
 		c.act(Push{})
 	}
 }
 
+// bound returns the regions that a home-bound request may be known in, nil for others.
+func (c *Core) bound(r *request) []ident.Region {
+	if r.Home == "" {
+		return nil
+	}
+	t, refusal := c.lookUp(c.force.Current(), r.Head)
+	if refusal != nil {
+		return []ident.Region{c.region}
+	}
+	return t.allowed
+}
+
 // lost sends a request elsewhere after its try broke off for good.
 func (c *Core) lost(now clock.Time, r *request, t *try) {
 	r.ran = true
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -28,6 +28,8 @@
 	term = 10 * clock.Minute
 	// capacity bounds the number of fingerprints kept, about 1 MB in all.
 	capacity = 4096
+	// maxTold bounds the accusations of one message, about 2 KB.
+	maxTold = 64
 	// drift is by how much the end of an accusation may grow while entries pass
 	// it on, because a message's delay is not known to its receiver.
 	drift = 5 * clock.Second
@@ -47,6 +49,8 @@
 	Fingerprint ident.Fingerprint
 	// Alone says that the request was dispatched to run alone.
 	Alone bool
+	// Regions are those that may learn of a home-bound request; empty means all.
+	Regions []ident.Region
 }
 
 // Suspects keeps the suspected fingerprints, the 4,096 most recently used ones.
@@ -61,6 +65,7 @@
 // record is what is known of one fingerprint.
 type record struct {
 	fingerprint ident.Fingerprint
+	regions     []ident.Region
 	verdict     Verdict
 	ends        clock.Time
 	// share is the sum over crashes of 1/n for n requests in flight.
@@ -98,6 +103,7 @@
 			continue
 		}
 		r := s.accuse(now, m.Fingerprint, 1/float64(len(marks)))
+		r.regions = m.Regions
 		told = append(told, r.accusation(now))
 	}
 	return told
@@ -214,6 +220,7 @@
 	r := s.get(now, a.Fingerprint)
 	if r == nil {
 		r = s.add(a.Fingerprint)
+		r.regions = a.Regions
 		r.verdict = Alone
 		r.ends = ends
 		if a.Refused {
@@ -260,10 +267,11 @@
 	return false
 }
 
-// Accusations returns what to tell other entries, most recently used first.
+// Accusations returns what to tell other entries, most recently used first. The
+// number is bounded, since it goes with every probe.
 func (s *Suspects) Accusations(now clock.Time) []news.Accusation {
 	var told []news.Accusation
-	for e := s.order.Front(); e != nil; e = e.Next() {
+	for e := s.order.Front(); e != nil && len(told) < maxTold; e = e.Next() {
 		r := e.Value.(*record)
 		if r.verdict == Clear || !now.Before(r.ends) {
 			continue
@@ -278,6 +286,7 @@
 	return news.Accusation{
 		Fingerprint: r.fingerprint,
 		Refused:     r.verdict == Refused,
+		Regions:     r.regions,
 		Rest:        r.ends.Sub(now),
 	}
 }
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -64,13 +64,20 @@
 	require.Equal(t, crash.Refused, a.Verdict(3100, 1))
 }
 
-// Guards against unbounded memory.
+// Guards against unbounded memory and unbounded messages.
 func TestBound(t *testing.T) {
 	s := crash.New(crash.Config{})
 	for f := range ident.Fingerprint(5000) {
 		s.Crashed(1, marks(f))
 	}
-	require.Len(t, s.Accusations(1), 4096)
+	require.Len(t, s.Accusations(1), 64)
+	kept := 0
+	for f := range ident.Fingerprint(5000) {
+		if s.Verdict(1, f) == crash.Alone {
+			kept++
+		}
+	}
+	require.Equal(t, 4096, kept)
 	require.Equal(t, crash.Clear, s.Verdict(1, 0))
 }
 
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -28,9 +28,11 @@
 	due      clock.Time
 	first    ident.Request
 	state    State // Running, Done, Unknown or Void
-	dropped  bool
-	answer   Answer
-	size     ident.Bytes // counted by answers; 0 if no answer is held
+	// bound says that the request is bound to a home; its answer stays here.
+	bound   bool
+	dropped bool
+	answer  Answer
+	size    ident.Bytes // counted by answers; 0 if no answer is held
 }
 
 func newBook(e ident.Entry, i ident.Incarnation, margin clock.Span) *book {
--- a/ledger/handover.go
+++ b/ledger/handover.go
@@ -63,7 +63,8 @@
 	h.Records = make([]Record, len(records))
 	for i, r := range records {
 		h.Records[i] = Record{r.sequence, r.due.Sub(p.now), Outcome{State: r.handedState(), Dropped: r.state == Done}}
-		if r.size > 0 {
+		// The heir may be in a region where the answer must not go.
+		if r.size > 0 && !r.bound {
 			p.packed = append(p.packed, packed{r, &h.Records[i]})
 		}
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -57,7 +57,7 @@
 	case !now.Before(t.Deadline):
 		return Verdict{Kind: Expired}
 	}
-	l.own.add(&record{sequence: t.Sequence, due: l.own.due(t), first: request, state: Running})
+	l.own.add(&record{sequence: t.Sequence, due: l.own.due(t), first: request, state: Running, bound: t.Home != ""})
 	return Verdict{Kind: Run}
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -183,3 +183,22 @@
 	require.Equal(t, ledger.Unknown, heir.Void(start, ran).State)
 	require.Equal(t, ledger.Void, heir.Void(start, unseen).State)
 }
+
+// Guards against the answer of a home-bound call that a handover takes to another region.
+func TestHandoverKeepsHomeBoundAnswersBack(t *testing.T) {
+	l := ledger.New(ledger.Config{Entry: "a", Incarnation: 1, Margin: 1000, Answers: 1 << 20})
+	free := l.Issue(100, "desk", "", 1000)
+	bound := l.Issue(100, "desk", "h1", 1000)
+	for _, tt := range []ticket.Ticket{free, bound} {
+		l.Begin(100, tt, "r")
+		l.Finish(100, tt.Sequence, ledger.Outcome{State: ledger.Done, Answer: ledger.Answer{Status: 200, Body: []byte("secret")}})
+	}
+	heir := ledger.New(ledger.Config{Entry: "b", Incarnation: 2, Margin: 1000, Answers: 1 << 20})
+	heir.Adopt(50, l.Seal(200))
+	got, ok := heir.Answer(50, free)
+	require.True(t, ok)
+	require.Equal(t, "secret", string(got.Answer.Body))
+	got, ok = heir.Answer(50, bound)
+	require.True(t, ok)
+	require.Equal(t, ledger.Outcome{State: ledger.Done, Dropped: true}, got)
+}
--- a/news/news.go
+++ b/news/news.go
@@ -3,6 +3,8 @@
 package news
 
 import (
+	"slices"
+
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 )
@@ -53,10 +55,17 @@
 	Fingerprint ident.Fingerprint `msgpack:"fingerprint"`
 	// Refused says that no entry should run the request any more.
 	Refused bool `msgpack:"refused"`
+	// Regions are those that may learn of a home-bound request; empty means all.
+	Regions []ident.Region `msgpack:"regions,omitempty"`
 	// Rest is how long the accusation still holds.
 	Rest clock.Span `msgpack:"rest"`
 }
 
+// Visible tells whether entries of a region may learn of the accusation.
+func (a Accusation) Visible(to ident.Region) bool {
+	return len(a.Regions) == 0 || slices.Contains(a.Regions, to)
+}
+
 // Load summarises one service in the sender's region.
 type Load struct {
 	Region  ident.Region  `msgpack:"region"`
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
@@ -107,9 +108,19 @@
 	return ack{Seq: q.Seq, News: n.news(q.News.From)}, nil
 }
 
+// visible leaves out accusations of home-bound requests that the entry's region may
+// not learn of. An entry that the table does not have yet gets none of these.
+func (n *Node) visible(to ident.Entry, all []news.Accusation) []news.Accusation {
+	n.mu.Lock()
+	m, _ := n.table.Find(to)
+	n.mu.Unlock()
+	return slices.DeleteFunc(all, func(a news.Accusation) bool { return !a.Visible(m.Region) })
+}
+
 // news returns what to tell an entry.
 func (n *Node) news(to ident.Entry) news.News {
 	w := n.c.Core.News()
+	w.Accusations = n.visible(to, w.Accusations)
 	w.From, w.Incarnation, w.Region = n.c.Self.Entry, n.c.Self.Incarnation, n.c.Self.Region
 	n.mu.Lock()
 	defer n.mu.Unlock()
