fix(core): bound a caller's requests in progress and count departures

Cause: the queue bounded only what waits, so one caller could hold every slot of an entry; callers that went away were missing from the burn report; status named a ready endpoint 'live'. Change: the request table counts the requests of each caller and drops the count with the last one; 429 above the bundle's limit; Gone samples; state names as endpoints report them. Result: go test ./core passes; the new test fails without the bound.

--- a/core/admit.go
+++ b/core/admit.go
@@ -177,6 +177,10 @@
 		c.refuseNew(now, r, refused(caller.ReasonOverload, "too many re-sends of this request", retryLater))
 		return
 	}
+	if c.requests.held[r.Caller] >= t.doc.Limits.Caller {
+		c.refuseNew(now, r, refused(caller.ReasonShare, "the caller has too many requests in progress here", retryLater))
+		return
+	}
 	if wait := c.expectedWait(now, r, t); wait > r.class.Deadline {
 		c.refuseNew(now, r, refused(caller.ReasonOverload, "the request can't be served in time", wait-r.class.Deadline+retryLater))
 		return
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -257,3 +257,24 @@
 	require.True(t, told[0].Visible("r1"))
 	require.False(t, told[0].Visible("r2"))
 }
+
+// Guards against one caller that takes all slots of an entry, and against a count
+// that outlives the caller's requests.
+func TestCallerOverItsShareIsRefused(t *testing.T) {
+	b := newBench(t, "e1", "r1", 1, 1000)
+	ids := func(i int) ident.Request { return ident.Request(fmt.Sprint("a", i)) }
+	for i := range 64 {
+		b.Apply(b.now, chat(ids(i)))
+	}
+	refusal := only[core.Refuse](t, b.Apply(b.now, chat("one-more"))).Refusal
+	require.Equal(t, caller.ReasonShare, refusal.Reason)
+	other := chat("other")
+	other.Caller = "d"
+	for _, a := range b.Apply(b.now, other) {
+		require.IsType(t, core.Dispatch{}, a)
+	}
+	b.Apply(b.now, core.Gone{Request: ids(0)})
+	for _, a := range b.Apply(b.now, chat("again")) {
+		require.IsType(t, core.Dispatch{}, a)
+	}
+}
--- a/core/ended.go
+++ b/core/ended.go
@@ -271,6 +271,7 @@
 		c.settle(now, r, ledger.Outcome{State: ledger.Void})
 	}
 	c.counts.Gone++
+	c.burn.Record(now, burn.Sample{Service: r.Service, Class: r.class.Name, Region: c.region, Gone: true})
 	c.requests.remove(r.Request)
 }
 
--- a/core/request.go
+++ b/core/request.go
@@ -91,21 +91,31 @@
 type requestTable struct {
 	byID  map[ident.Request]*request
 	order []ident.Request
+	// held counts the requests of each caller that has any.
+	held map[ident.Caller]int
 }
 
 func newRequestTable() requestTable {
-	return requestTable{byID: make(map[ident.Request]*request)}
+	return requestTable{byID: make(map[ident.Request]*request), held: make(map[ident.Caller]int)}
 }
 
 func (t *requestTable) add(r *request) {
 	t.byID[r.Request] = r
 	t.order = append(t.order, r.Request)
+	t.held[r.Caller]++
 }
 
 func (t *requestTable) get(id ident.Request) *request { return t.byID[id] }
 
 func (t *requestTable) remove(id ident.Request) {
+	r := t.byID[id]
+	if r == nil {
+		return
+	}
 	delete(t.byID, id)
+	if t.held[r.Caller]--; t.held[r.Caller] == 0 {
+		delete(t.held, r.Caller)
+	}
 	if len(t.order) > 2*len(t.byID)+16 {
 		t.compact()
 	}
--- a/core/status.go
+++ b/core/status.go
@@ -102,7 +102,7 @@
 	var rows []status.Endpoint
 	for _, t := range c.fleet.Targets() {
 		rows = append(rows, status.Endpoint{
-			Name: t.Endpoint, Service: t.Service, Region: t.Region, State: string(c.fleet.State(t.Endpoint)),
+			Name: t.Endpoint, Service: t.Service, Region: t.Region, State: shownState(c.fleet.State(t.Endpoint)),
 		})
 	}
 	for i := range rows {
@@ -111,6 +111,14 @@
 	return rows
 }
 
+// shownState names an endpoint's state as it reports it itself where it can.
+func shownState(s fleet.State) string {
+	if s == fleet.Live {
+		return string(fleet.ConditionReady)
+	}
+	return string(s)
+}
+
 func (c *Core) fillLoad(now clock.Time, row *status.Endpoint) {
 	for _, k := range c.fleet.Candidates(now, row.Service, row.Region) {
 		if k.Endpoint == row.Name {
