fix(peer): announce a leaving even when the handover took all the time

Cause: handover attempts and the announcement shared one deadline; three seconds lost on one peer left the others without news of the leaving. Change: the announcement has 3 s of its own, and no further peer is tried once the caller's time is over. The Core contract says that the node may change the slices of News, which the filter of accusations does. Result: go test -race -count=2 ./peer passes, with a new test that leaves with an ended context.

--- a/peer/doc.go
+++ b/peer/doc.go
@@ -32,7 +32,8 @@
 // Core is what the node needs from the daemon. Its methods are called from several
 // goroutines and must not block for long.
 type Core interface {
-	// News returns what to send with the next probe, without members.
+	// News returns what to send with the next probe, without members. The node may
+	// change its slices.
 	News() news.News
 	// Hear takes what came with a probe or its answer.
 	Hear(news.News)
--- a/peer/leave.go
+++ b/peer/leave.go
@@ -21,6 +21,10 @@
 // handTime bounds the attempt to hand a ledger to one peer. A ledger has at most 1 MB.
 const handTime = 3 * time.Second
 
+// announceTime bounds the last message to all peers: two rounds of probes, since no more
+// than maxPushes are in progress at once.
+const announceTime = 3 * time.Second
+
 // Ask asks the owner of a ticket, or the entry that answers for it, what became of the
 // request. After an error the outcome is unknown.
 func (n *Node) Ask(ctx context.Context, t ticket.Ticket) (ledger.Outcome, error) {
@@ -81,6 +85,9 @@
 	n.mu.Lock()
 	n.table.Leave(n.now(), heir)
 	n.mu.Unlock()
+	// The attempts to hand over may have used up the caller's time.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceTime)
+	defer cancel()
 	n.Tell(ctx)
 	return err
 }
@@ -88,6 +95,9 @@
 func (n *Node) bequeath(ctx context.Context, h ledger.Handover) (ident.Entry, error) {
 	err := fault.Newf("leave", Orphaned, "no live peer")
 	for _, m := range n.candidates() {
+		if ctx.Err() != nil {
+			break
+		}
 		failure := n.hand(ctx, m.Entry, h)
 		if failure == nil {
 			return m.Entry, nil
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -258,6 +258,17 @@
 	require.False(t, f.nodes[0].Ready())
 }
 
+// Guards against a leaving that is not announced since the handover took all the time.
+func TestLeaveOutOfTime(t *testing.T) {
+	f := start(t)
+	f.settled(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.Error(t, f.nodes[0].Leave(ctx, f.cores[0].ledger.Seal(1)))
+	require.Len(t, f.nodes[1].Live(), 1)
+	require.Len(t, f.nodes[2].Live(), 1)
+}
+
 // Guards against a process with another secret that gets news or counts as a peer.
 func TestStrangerIsNoPeer(t *testing.T) {
 	f := start(t, wire.Secrets{Current: []byte("the secret of another fleet")})
