fix(peer): check the announcement by state

Cause: the new test counted live members at once, which a slow machine could fail and a probe of another entry could satisfy. Change: the test closes the node and waits for the state left, which only the announcement brings. Result: go test -race -count=3 ./peer passes.

--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -265,8 +265,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	require.Error(t, f.nodes[0].Leave(ctx, f.cores[0].ledger.Seal(1)))
-	require.Len(t, f.nodes[1].Live(), 1)
-	require.Len(t, f.nodes[2].Live(), 1)
+	f.nodes[0].Close()
+	for _, n := range f.nodes[1:] {
+		eventually(t, func() bool { return n.Members()[0].State == news.Left })
+	}
 }
 
 // Guards against a process with another secret that gets news or counts as a peer.
