--- /dev/null
+++ b/watch/rendezvous.go
@@ -0,0 +1,33 @@
+package watch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// Watchers returns up to n of the live entries, chosen by rendezvous hashing:
+// every entry that knows the same live ones chooses the same watchers, and an
+// entry that comes or goes changes at most one of them. The first is the most
+// preferred.
+func Watchers(key string, live []ident.Entry, n int) []ident.Entry {
+	type candidate struct {
+		entry ident.Entry
+		score uint64
+	}
+	ranked := make([]candidate, len(live))
+	for i, e := range live {
+		ranked[i] = candidate{e, xxhash.Sum64String(key + "\x00" + string(e))}
+	}
+	slices.SortFunc(ranked, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry, b.entry))
+	})
+	chosen := make([]ident.Entry, 0, max(0, min(n, len(ranked))))
+	for _, c := range ranked[:cap(chosen)] {
+		chosen = append(chosen, c.entry)
+	}
+	return chosen
+}
