fix(entry): give each try an id of its own at its endpoint

Ruled out: the continuation's token count and the stand-in's totals. Change: each try has the caller's id with a random mark and its number; the caller's id is put back in every event. Also: policies without classes give all requests one urgency (for trial).

--- a/core/admit.go
+++ b/core/admit.go
@@ -118,7 +118,7 @@
 // Ready tells whether the entry may take new work. A gap between ticks shows that
 // the process was stopped and may hold an old view.
 func (c *Core) Ready(now clock.Time) bool {
-	return c.ready && c.lastTick > 0 && now.Sub(c.lastTick) < pauseLimit && c.force.Current() != nil
+	return c.ready && c.knowsEndpoints && c.lastTick > 0 && now.Sub(c.lastTick) < pauseLimit && c.force.Current() != nil
 }
 
 func (c *Core) arrive(now clock.Time, e Arrived) {
@@ -143,12 +143,16 @@
 
 func (c *Core) newRequest(now clock.Time, e Arrived, t target) *request {
 	class := classOf(t, e.Answer)
+	hedge := t.call == nil && class.Urgency == 0 || t.call != nil && t.call.Hedge
+	if !c.policy.Classes() {
+		class = unclassed(t.doc, class)
+	}
 	r := &request{
 		Arrived:  e,
 		class:    class,
 		engine:   t.call == nil,
 		once:     t.once(),
-		hedge:    t.call == nil && class.Urgency == 0 || t.call != nil && t.call.Hedge,
+		hedge:    hedge,
 		arrived:  now,
 		deadline: now.Add(class.Deadline),
 		mode:     Fresh,
@@ -171,6 +175,17 @@
 	return best
 }
 
+// unclassed returns a class with the urgency, share and deadline that all requests
+// have under a policy that doesn't tell classes apart, so that they wait in order of
+// arrival. The name and the targets stay, for reports.
+func unclassed(doc *bundle.Document, class bundle.Class) bundle.Class {
+	class.Urgency, class.Share = 0, 1
+	for _, k := range doc.Classes {
+		class.Deadline = max(class.Deadline, k.Deadline)
+	}
+	return class
+}
+
 // enqueue admits a request to the queue or refuses it as not run.
 func (c *Core) enqueue(now clock.Time, r *request, t target) {
 	if r.Attempt > t.doc.Retry.Attempts && !c.retries.Take() {
--- a/core/core.go
+++ b/core/core.go
@@ -68,9 +68,11 @@
 	members  []member.Member
 	entries  []watch.Instance
 	ready    bool
-	lastTick clock.Time
-	drainEnd clock.Time
-	draining bool
+	// knowsEndpoints says that a list with endpoints was read since the start.
+	knowsEndpoints bool
+	lastTick       clock.Time
+	drainEnd       clock.Time
+	draining       bool
 
 	actions []Action
 }
@@ -171,6 +173,8 @@
 	for _, i := range instances {
 		if i.Role == watch.RoleEntry {
 			c.entries = append(c.entries, i)
+		} else {
+			c.knowsEndpoints = true
 		}
 	}
 	c.pumpAll(now)
--- a/core/ended.go
+++ b/core/ended.go
@@ -29,8 +29,10 @@
 		r.begun = now
 	}
 	r.won = e.Try
-	c.act(Win(e))
+	// The shell is busy with the winner's stream from Win on, so that a later Cancel
+	// would leave the loser running at its engine.
 	c.cancelOthers(now, r, e.Try)
+	c.act(Win(e))
 }
 
 func (c *Core) cancelOthers(now clock.Time, r *request, keep ident.Try) {
--- a/entry/call.go
+++ b/entry/call.go
@@ -150,7 +150,7 @@
 		return core.Ended{Outcome: fleet.Refused}
 	}
 	req.Header = p.header.Clone()
-	req.Header.Set(caller.HeaderRequest, string(d.Request))
+	req.Header.Set(caller.HeaderRequest, string(p.flight.wire(d.Try)))
 	if !p.server.shell.confirm(d) {
 		return core.Ended{Outcome: fleet.Refused}
 	}
@@ -168,7 +168,7 @@
 	if state := resp.Header.Get(headerState); state != "" && resp.StatusCode == http.StatusServiceUnavailable {
 		return core.Ended{Outcome: fleet.Refused, Leaving: state == "leaving"}
 	}
-	if id := resp.Header.Get(caller.HeaderRequest); id != string(d.Request) {
+	if id := resp.Header.Get(caller.HeaderRequest); id != string(p.flight.wire(d.Try)) {
 		p.server.crossed(d, id)
 		return core.Ended{Outcome: fleet.Broken}
 	}
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -44,6 +44,8 @@
 	reader *stream.Reader
 	first  stream.Event
 	final  *ledger.Answer
+	// wire is the id of this try at the engine.
+	wire ident.Request
 	// base is the number of the caller's event before this stream's first one.
 	base int
 	done atomic.Bool
@@ -56,7 +58,7 @@
 		return
 	}
 	t.cancel()
-	s.spawn(func() { s.dropStream(t.Address, t.Request) })
+	s.spawn(func() { s.dropStream(t.Address, t.wire) })
 }
 
 func (s *Server) dropStream(address string, id ident.Request) {
@@ -78,7 +80,7 @@
 // start begins a try in the background; the core hears of its first event or its end.
 func (x *exchange) start(ctx context.Context, d core.Dispatch) {
 	ctx, cancel := context.WithCancel(ctx)
-	t := &engineTry{Dispatch: d, cancel: cancel}
+	t := &engineTry{Dispatch: d, cancel: cancel, wire: x.flight.wire(d.Try)}
 	t.watch = time.AfterFunc(d.Begin.Duration(), cancel)
 	sent := x.out.progress()
 	if d.Mode == core.Continue {
@@ -121,7 +123,7 @@
 		x.declined(t, resp)
 		return
 	}
-	if id := resp.Header.Get(caller.HeaderRequest); id != string(t.Request) {
+	if id := resp.Header.Get(caller.HeaderRequest); id != string(t.wire) {
 		x.server.crossed(t.Dispatch, id)
 		x.ended(t, core.Ended{Outcome: fleet.Broken})
 		return
@@ -134,7 +136,7 @@
 	if t.Mode == core.Resume {
 		last = sent.event - t.base
 	}
-	t.reader = stream.ResumeReader(body, t.Request, last)
+	t.reader = stream.ResumeReader(body, t.wire, last)
 	first, err := t.reader.Next()
 	if err != nil {
 		x.broken(t, err)
@@ -150,13 +152,13 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set(caller.HeaderRequest, string(t.Request))
+	req.Header.Set(caller.HeaderRequest, string(t.wire))
 	return x.server.client.send(req, false)
 }
 
 func (x *exchange) request(ctx context.Context, t *engineTry, sent progress) (*http.Request, error) {
 	if t.Mode == core.Resume {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, streamURL(t.Address, t.Request), http.NoBody)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, streamURL(t.Address, t.wire), http.NoBody)
 		if err == nil {
 			req.Header.Set("Last-Event-ID", strconv.Itoa(sent.event-t.base))
 		}
@@ -234,7 +236,7 @@
 	for {
 		// The watch covers the engine only, not a slow caller.
 		t.watch.Stop()
-		if err := x.out.event(e, x.server.clock.Now()); err != nil {
+		if err := x.out.event(e, t.wire, x.server.clock.Now()); err != nil {
 			x.leave()
 			return true
 		}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerbridge/tanagerbridge/caller"
@@ -132,3 +134,52 @@
 		})
 	}
 }
+
+// Guards against a resumed stream that belongs to another caller: callers choose
+// their request ids, and two entries may send the same id to one engine.
+func TestEqualRequestIDsDoNotMixAnswers(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	s, err := stage.Start(ctx, stage.Config{Deployment: stage.Kgosi, Seed: 1, Speed: 5, Runners: 1, Entries: 3})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	require.NoError(t, s.Ready(ctx))
+	s.Engines[0].Spoil(fakes.EngineFaults{Break: 3})
+	var group errgroup
+	for i, e := range s.Entries() {
+		group.run(func() error {
+			c, err := caller.New(caller.Config{Entries: []string{e.Address()}, Service: s.EngineService(), Seed: 7, Attempts: 1})
+			if err != nil {
+				return err
+			}
+			p := prompt(strings.Repeat("question ", i+1))
+			var got strings.Builder
+			_, err = c.Complete(ctx, p, caller.Sink{Token: func(text string) { got.WriteString(text) }})
+			if err == nil && got.String() != wanted(p) {
+				err = errors.Errorf("caller %d got %q instead of %q", i, got.String(), wanted(p))
+			}
+			return err
+		})
+	}
+	require.NoError(t, group.wait())
+}
+
+// errgroup runs functions at the same time and keeps the first error.
+type errgroup struct {
+	wg   sync.WaitGroup
+	once sync.Once
+	err  error
+}
+
+func (g *errgroup) run(f func() error) {
+	g.wg.Go(func() {
+		if err := f(); err != nil {
+			g.once.Do(func() { g.err = err })
+		}
+	})
+}
+
+func (g *errgroup) wait() error {
+	g.wg.Wait()
+	return g.err
+}
--- a/entry/output.go
+++ b/entry/output.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -26,6 +27,8 @@
 	text  strings.Builder
 	begun bool
 	ended string
+	// renamed is the buffer of rename.
+	renamed []byte
 }
 
 // progress is how much of an answer the caller has received.
@@ -64,7 +67,7 @@
 
 // event passes one event on. Events of a continued answer get the numbers that
 // follow those already sent.
-func (o *output) event(e stream.Event, now clock.Time) error {
+func (o *output) event(e stream.Event, wire ident.Request, now clock.Time) error {
 	o.note(e, now)
 	if !o.streams {
 		if e.Done {
@@ -75,10 +78,11 @@
 	if !o.begun {
 		o.begin(stream.ContentType)
 	}
-	if !e.Done {
-		e.ID = o.sent.event
-	} else {
+	if e.Done {
 		e.ID = 0
+	} else {
+		e.ID = o.sent.event
+		e.Data = o.rename(e.Data, wire)
 	}
 	if err := stream.Write(o.w, e); err != nil {
 		return err
@@ -86,6 +90,18 @@
 	return o.flush.Flush()
 }
 
+// rename puts the caller's request id in the place of the one that the engine knows.
+func (o *output) rename(data []byte, wire ident.Request) []byte {
+	before, after, found := bytes.Cut(data, []byte(wire))
+	if !found {
+		return data
+	}
+	o.renamed = append(o.renamed[:0], before...)
+	o.renamed = append(o.renamed, o.request...)
+	o.renamed = append(o.renamed, after...)
+	return o.renamed
+}
+
 func (o *output) note(e stream.Event, now clock.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/entry/shell.go
+++ b/entry/shell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 
 	"github.com/tanagerbridge/tanagerbridge/bundle"
@@ -39,7 +40,10 @@
 
 // flight is the shell's side of one request: the channel to its handler.
 type flight struct {
-	id      ident.Request
+	id ident.Request
+	// mark makes the ids at endpoints unique: callers choose their ids freely, and
+	// two that choose the same one must not get each other's stream when one is resumed.
+	mark    string
 	actions chan core.Action
 }
 
@@ -115,11 +119,17 @@
 	if s.flights[id] != nil {
 		return nil
 	}
-	f := &flight{id: id, actions: make(chan core.Action, actionBuffer)}
+	f := &flight{id: id, mark: strconv.FormatUint(randomNumber(), 36), actions: make(chan core.Action, actionBuffer)}
 	s.flights[id] = f
 	return f
 }
 
+// wire returns the id of a try at its endpoint. The caller's id comes first, so
+// that an endpoint's records can be traced back.
+func (f *flight) wire(number ident.Try) ident.Request {
+	return f.id + "~" + ident.Request(f.mark) + "-" + ident.Request(strconv.Itoa(int(number)))
+}
+
 func (s *shell) close(f *flight) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/fakes/journal.go
+++ b/fakes/journal.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -64,11 +65,18 @@
 }
 
 // add opens a record and returns its index.
+// callerID returns the id that the caller gave a request. Entries append "~" and a
+// mark of their own to it, so that ids at endpoints are unique.
+func callerID(r ident.Request) ident.Request {
+	id, _, _ := strings.Cut(string(r), "~")
+	return ident.Request(id)
+}
+
 func (l *journal) add(request ident.Request, prompt uint64, o Outcome) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	r := Record{Request: request, Engine: l.engine, Region: l.region, Arrived: now, Prompt: prompt, Outcome: o}
+	r := Record{Request: callerID(request), Engine: l.engine, Region: l.region, Arrived: now, Prompt: prompt, Outcome: o}
 	if o == Refused {
 		r.Ended = now
 	}
--- a/fakes/service.go
+++ b/fakes/service.go
@@ -259,8 +259,8 @@
 
 func (s *Service) stock(w http.ResponseWriter, r *http.Request) {
 	request := ident.Request(r.Header.Get(headerRequest))
-	i := s.note(Call{Request: request, Method: r.Method})
-	answer := StockAnswer{Query: r.URL.RawQuery, Stock: Stock(r.URL.RawQuery), Request: request}
+	i := s.note(Call{Request: callerID(request), Method: r.Method})
+	answer := StockAnswer{Query: r.URL.RawQuery, Stock: Stock(r.URL.RawQuery), Request: callerID(request)}
 	s.serve(w, i, request, answer)
 }
 
@@ -273,13 +273,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	if err := json.Unmarshal(raw, &body); err != nil || len(body.Order) == 0 {
+		w.Header().Set(headerRequest, r.Header.Get(headerRequest))
 		writeError(w, http.StatusBadRequest, "want an order number")
 		return
 	}
 	request := ident.Request(r.Header.Get(headerRequest))
 	order := string(bytes.Trim(body.Order, `"`))
-	i := s.note(Call{Request: request, Method: r.Method, Order: order})
-	s.serve(w, i, request, OrderAnswer{Order: order, Request: request, Endpoint: s.cfg.Name})
+	i := s.note(Call{Request: callerID(request), Method: r.Method, Order: order})
+	s.serve(w, i, request, OrderAnswer{Order: order, Request: callerID(request), Endpoint: s.cfg.Name})
 }
 
 // serve runs one call: it refuses, drops, delays or answers. The call takes
--- a/proof/scene_test.go
+++ b/proof/scene_test.go
@@ -337,7 +337,7 @@
 	}
 	for _, p := range s.prompts {
 		if want := answerTo(p.prompt); p.got != want {
-			return errors.Errorf("answer of %d bytes instead of %d was passed on as whole", len(p.got), len(want))
+			return errors.Errorf("%q was passed on as whole: %q instead of %q", p.prompt.Messages[0].Content, p.got, want)
 		}
 	}
 	return nil
