--- a/proof/storm_test.go
+++ b/proof/storm_test.go
@@ -31,9 +31,9 @@
 	random *rand.Rand
 	names  []string
 
-	mu     sync.Mutex
-	told   []telling
-	whole  int
+	mu    sync.Mutex
+	told  []telling
+	whole int
 }
 
 // telling is what a caller was told about one order.
