feat(cmd): add bundle with keygen, check, sign and show

Cause: operators need to make keys, find faults in a document before a rollout and see what a signed form contains.

--- /dev/null
+++ b/cmd/bundle.go
@@ -0,0 +1,251 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// privateMode lets only the operator read a private key.
+const privateMode os.FileMode = 0o600
+
+func bundleCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "bundle",
+		Usage: "make keys, and check, sign and show bundles",
+		Description: "A bundle declares services, regions, homes, classes and limits of a deployment. Entries\n" +
+			"accept it only if it is signed with a key that they know and has a higher version.\n" +
+			"FILE may be '-' for standard input.",
+		Commands: []*cli.Command{bundleKeygen(), bundleCheck(), bundleSign(), bundleShow()},
+	}
+}
+
+func bundleKeygen() *cli.Command {
+	return &cli.Command{
+		Name:  "keygen",
+		Usage: "make a key pair and print the public key as id=base64",
+		Description: "Writes the private key to a new file that only you can read. Give the printed public key\n" +
+			"to every entry (--bundle-keys) before you sign with the private one.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "id", Usage: "id of the key, such as k1", Required: true},
+			&cli.StringFlag{Name: "private", Usage: "file to create for the private key", Required: true},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			public, private, err := bundle.GenerateKey(ident.Key(c.String("id")))
+			if err != nil {
+				return err
+			}
+			if err := createFile(c.String("private"), []byte(private.Encode()+"\n"), privateMode); err != nil {
+				return errors.Wrap(err, "write private key")
+			}
+			return printLine(c, "%s", public)
+		},
+	}
+}
+
+func bundleCheck() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a bundle document without signing it",
+		ArgsUsage: "FILE",
+		Description: "Prints the version and what the document declares. On errors it prints one line each, which\n" +
+			"starts with the path of the field, and exits 1.",
+		Action: func(_ context.Context, c *cli.Command) error {
+			body, err := readArgument(c)
+			if err != nil {
+				return err
+			}
+			d, err := bundle.Parse(body)
+			if err != nil {
+				return err
+			}
+			return printDocument(c, d)
+		},
+	}
+}
+
+func bundleSign() *cli.Command {
+	return &cli.Command{
+		Name:      "sign",
+		Usage:     "check and sign a bundle document",
+		ArgsUsage: "FILE",
+		Description: "Prints the signed form, which the configuration service holds. Signing does not change what\n" +
+			"is in force. With --after, the version must be higher than that of the signed form given.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "private", Usage: "file with the private key", Required: true},
+			&cli.StringFlag{Name: "after", Usage: "file with the signed form in force, which this one replaces"},
+		},
+		Action: signBundle,
+	}
+}
+
+func signBundle(_ context.Context, c *cli.Command) error {
+	text, err := os.ReadFile(c.String("private"))
+	if err != nil {
+		return errors.Wrap(err, "read private key")
+	}
+	key, err := bundle.ParsePrivateKey(string(text))
+	if err != nil {
+		return errors.Wrap(err, c.String("private"))
+	}
+	body, err := readArgument(c)
+	if err != nil {
+		return err
+	}
+	signed, err := bundle.Sign(key, body)
+	if err != nil {
+		return err
+	}
+	if err := checkAfter(c.String("after"), body); err != nil {
+		return err
+	}
+	return printLine(c, "%s", signed.Encode())
+}
+
+// checkAfter refuses a document whose version is not higher than that of the
+// signed form in the file; an empty name skips the check.
+func checkAfter(name string, body []byte) error {
+	if name == "" {
+		return nil
+	}
+	encoded, err := readFile(nil, name)
+	if err != nil {
+		return err
+	}
+	signed, err := bundle.Unverified(encoded)
+	if err != nil {
+		return errors.Wrap(err, name)
+	}
+	old, err := bundle.Parse(signed.Body)
+	if err != nil {
+		return errors.Wrap(err, name)
+	}
+	next, err := bundle.Parse(body)
+	if err != nil {
+		return err
+	}
+	if next.Version <= old.Version {
+		return errors.Errorf("version: %d is not above %d of %s", next.Version, old.Version, name)
+	}
+	return nil
+}
+
+func bundleShow() *cli.Command {
+	return &cli.Command{
+		Name:      "show",
+		Usage:     "show what a signed bundle contains",
+		ArgsUsage: "FILE",
+		Description: "Prints key, digest, version and what the document declares. Without --bundle-keys the\n" +
+			"signature is not verified, and the output says so.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bundle-keys", Usage: "public keys (id=base64,id=base64) to verify with"},
+			&cli.BoolFlag{Name: "body", Usage: "print the document itself instead"},
+		},
+		Action: showBundle,
+	}
+}
+
+func showBundle(_ context.Context, c *cli.Command) error {
+	encoded, err := readArgument(c)
+	if err != nil {
+		return err
+	}
+	signed, verified, err := openBundle(c.String("bundle-keys"), encoded)
+	if err != nil {
+		return err
+	}
+	if c.Bool("body") {
+		_, err = c.Root().Writer.Write(signed.Body)
+		return errors.Wrap(err, "write output")
+	}
+	d, err := bundle.Parse(signed.Body)
+	if err != nil {
+		return err
+	}
+	if err := printLine(c, "key %s, signature %s\ndigest %x", signed.Key, verified, signed.Digest()); err != nil {
+		return err
+	}
+	return printDocument(c, d)
+}
+
+// openBundle verifies the signed form if there are keys to verify with.
+func openBundle(keys string, encoded []byte) (signed bundle.Signed, verified string, err error) {
+	if keys == "" {
+		signed, err = bundle.Unverified(encoded)
+		return signed, "not verified", err
+	}
+	known, err := bundle.ParseKeys(keys)
+	if err != nil {
+		return bundle.Signed{}, "", errors.Wrap(err, "--bundle-keys")
+	}
+	signed, err = bundle.Open(known, encoded)
+	return signed, "verified", err
+}
+
+func printDocument(c *cli.Command, d *bundle.Document) error {
+	lines := []string{
+		fmt.Sprintf("version %d of deployment %s", d.Version, d.Deployment),
+		fmt.Sprintf("regions %v", d.Regions),
+	}
+	for _, h := range d.Homes {
+		lines = append(lines, fmt.Sprintf("home %s in %v", h.Name, h.Regions))
+	}
+	for _, s := range d.Classes {
+		lines = append(lines, fmt.Sprintf("class %s: urgency %d, first %v, between %v, share %v", s.Name, s.Urgency, s.First, s.Between, s.Share))
+	}
+	for _, s := range d.Services {
+		lines = append(lines, fmt.Sprintf("service %s: %s in %v, %d calls", s.Name, s.Kind, s.Regions, len(s.Calls)))
+	}
+	return printLine(c, "%s", strings.Join(lines, "\n"))
+}
+
+func printLine(c *cli.Command, format string, args ...any) error {
+	_, err := fmt.Fprintf(c.Root().Writer, format+"\n", args...)
+	return errors.Wrap(err, "write output")
+}
+
+// readArgument reads the file that is the only argument.
+func readArgument(c *cli.Command) ([]byte, error) {
+	if c.Args().Len() != 1 {
+		return nil, errors.Errorf("%s: want one FILE, got %d arguments", c.Name, c.Args().Len())
+	}
+	return readFile(c.Root().Reader, c.Args().First())
+}
+
+// readFile reads a file, or in for "-". It reads little more than a bundle may have.
+func readFile(in io.Reader, name string) ([]byte, error) {
+	if name != "-" {
+		file, err := os.Open(name) //nolint:gosec // the operator names the file
+		if err != nil {
+			return nil, errors.Wrap(err, "read bundle")
+		}
+		defer func() { _ = file.Close() }()
+		in = file
+	}
+	if in == nil {
+		return nil, errors.New("read bundle: standard input can't be used here")
+	}
+	body, err := io.ReadAll(io.LimitReader(in, bundle.MaxSize+1))
+	return body, errors.Wrap(err, "read bundle")
+}
+
+// createFile writes a file that must not exist yet.
+func createFile(name string, content []byte, mode os.FileMode) error {
+	file, err := os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode) //nolint:gosec // the operator names the file
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(content)
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
