feat(trial): measure the real code under load and faults

Cause: the targets of the design page are ratios between policies under the same load, and nothing measured them on the real code. Change: package trial runs a deployment in one process with callers, seven cases and the checks of the guarantees, computes the least share away and the least cost, and prints objects, rows and which targets are met; the trial command.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -38,6 +38,7 @@
 		bundleCommand(),
 		standinCommand(),
 		demoCommand(),
+		trialCommand(),
 		locateCommand(),
 		sendCommand(),
 		reportCommand(),
--- /dev/null
+++ b/trial/target.go
@@ -0,0 +1,97 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/route"
+	"github.com/tanagerbridge/tanagerbridge/stage"
+)
+
+// Targets of the design page, as ratios.
+const (
+	targetWait   = 0.25
+	targetSlowed = 1.3
+	targetRobin  = 0.5
+	targetAway   = 1.2
+	targetCost   = 1.05
+	targetFaults = 1.15
+)
+
+// target is one ratio of the design page.
+type target struct {
+	name  string
+	value float64
+	bound float64
+	// base is 0 if there is nothing to compare with.
+	base float64
+}
+
+// targets returns those targets for which the results have both sides.
+func targets(all []Result) []target {
+	find := func(c Case, policy string) *Result {
+		for i := range all {
+			if all[i].Case == c && all[i].Policy == policy {
+				return &all[i]
+			}
+		}
+		return nil
+	}
+	var out []target
+	for _, c := range Cases() {
+		ours := find(c, route.Tanager)
+		if ours == nil {
+			continue
+		}
+		if o := find(c, route.Single); o != nil {
+			out = append(out, newTarget(fmt.Sprintf("%s: p99 wait of short work against a single queue", c),
+				ours.Classes[stage.Short].Wait.P99, o.Classes[stage.Short].Wait.P99, targetWait))
+		}
+		bound := targetFaults
+		if c == Steady || c == Peak {
+			bound = targetCost
+		}
+		out = append(out, newTarget(fmt.Sprintf("%s: cost against the least possible", c), ours.Cost, ours.Floor, bound))
+	}
+	if p := find(Peak, route.Tanager); p != nil {
+		out = append(out, newTarget("peak: share sent away against what capacity forces", p.Away, p.Least, targetAway))
+	}
+	slowed := find(Slowed, route.Tanager)
+	if slowed == nil {
+		return out
+	}
+	for _, c := range []ident.Class{stage.Short, stage.Long} {
+		p99 := slowed.Classes[c].First.P99
+		if o := find(Steady, route.Tanager); o != nil {
+			out = append(out, newTarget(fmt.Sprintf("slowed: p99 first of %s work against steady", c), p99, o.Classes[c].First.P99, targetSlowed))
+		}
+		if o := find(Slowed, route.Robin); o != nil {
+			out = append(out, newTarget(fmt.Sprintf("slowed: p99 first of %s work against robin", c), p99, o.Classes[c].First.P99, targetRobin))
+		}
+	}
+	return out
+}
+
+func newTarget(name string, value, base, bound float64) target {
+	return target{name: name, value: value, base: base, bound: bound}
+}
+
+// met reports whether the ratio is within its bound.
+func (t target) met() bool { return t.value <= t.bound*t.base }
+
+// printTargets prints which targets the results of policy tanager meet.
+func printTargets(out io.Writer, all []Result) {
+	found := targets(all)
+	if len(found) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintf(out, "\ntargets of policy %s\n", route.Tanager)
+	for _, t := range found {
+		verdict := "missed"
+		if t.met() {
+			verdict = "met"
+		}
+		_, _ = fmt.Fprintf(out, "%-6s %6.3f, at most %.2f: %s (%.4g of %.4g)\n", verdict, ratio(t.value, t.base), t.bound, t.name, t.value, t.base)
+	}
+}
--- /dev/null
+++ b/trial/trial_test.go
@@ -0,0 +1,218 @@
+package trial
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/stage"
+)
+
+// Guards against requests that are lost from the figures, checks that don't run,
+// and a result whose fields differ from those that its readers expect.
+func TestShortRun(t *testing.T) {
+	for _, cfg := range []Config{
+		{Deployment: stage.Kgosi, Case: Crasher, Policy: "tanager", Seed: 3},
+		{Deployment: stage.Skovbro, Case: Lost, Policy: "robin", Seed: 4},
+	} {
+		t.Run(cfg.Deployment, func(t *testing.T) {
+			t.Parallel()
+			cfg.For = 2 * time.Second
+			cfg.Violation = func(text string) { t.Log(text) }
+			x, err := execute(t.Context(), cfg)
+			require.NoError(t, err)
+			r := x.result()
+			sent, plain := 0, 0
+			for i := range x.plan.arrivals {
+				if x.plan.arrivals[i].measured() {
+					sent++
+				}
+			}
+			for _, o := range x.measured() {
+				if o.end == completed && !o.completion() {
+					plain++
+				}
+			}
+			require.Equal(t, sent, plain+r.Classes[stage.Short].Count+r.Classes[stage.Long].Count+r.Refused+r.Unknown)
+			require.Positive(t, r.Classes[stage.Short].First.P99)
+			require.Zero(t, r.Violations.sum())
+			for _, g := range []int{1, 2, 4, 6, 9} {
+				require.Positive(t, x.checks.done[g], "G%d", g)
+			}
+			if cfg.Case == Crasher {
+				require.Positive(t, r.Crashed)
+			}
+			require.Greater(t, r.Cost, 0.9*r.Floor)
+			requireFields(t, &r)
+		})
+	}
+}
+
+func requireFields(t *testing.T, r *Result) {
+	t.Helper()
+	encoded, err := json.Marshal(r)
+	require.NoError(t, err)
+	var fields map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal(encoded, &fields))
+	var names []string
+	for name := range fields {
+		names = append(names, name)
+	}
+	require.ElementsMatch(t, []string{
+		"deployment", "case", "policy", "seed", "classes", "away", "least", "cost", "floor",
+		"retries", "refused", "unknown", "crashed", "links", "violations",
+	}, names)
+	require.Len(t, r.Links, 6)
+	require.Len(t, r.Violations, guarantees)
+	var class map[string]json.RawMessage
+	var classes map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal(fields["classes"], &classes))
+	require.NoError(t, json.Unmarshal(classes["short"], &class))
+	require.Len(t, class, 4)
+}
+
+// smallPlan has one region of 2 slots, and nobody may wait for more than 1 s.
+func smallPlan(c Case, arrivals ...arrival) *plan {
+	return &plan{
+		model: &model{
+			kind: c, regions: 1, length: 12 * time.Second, capacity: 2, engines: 1,
+			gap: 10 * time.Millisecond, prefill: time.Millisecond, patience: time.Second,
+		},
+		regions: []ident.Region{"r"}, arrivals: arrivals,
+	}
+}
+
+// Guards against a bound that is above what a policy can reach, or far below.
+func TestLeast(t *testing.T) {
+	long := arrival{work: draft, tokens: 500}                    // 5 s of a slot
+	short := arrival{work: question, tokens: 100}                // 1 s of a slot
+	early := arrival{work: draft, tokens: 500, at: -time.Second} // 4 s of it are measured
+	for name, c := range map[string]struct {
+		arrivals []arrival
+		want     float64
+	}{
+		"nothing":           {nil, 0},
+		"as much as fits":   {[]arrival{long, long}, 0},
+		"waits in time":     {[]arrival{short, short, short, short}, 0},
+		"too much":          {[]arrival{long, long, long, long}, 8.0 / 5 / 4}, // 4 slots for 5 s; 2 s of slots can wait
+		"others count too":  {[]arrival{long, long, long, long, {work: stock}, {work: order}, short, short}, 10.0 / 5 / 8},
+		"during the warmup": {[]arrival{early, early, long, long}, 6.0 / 5 / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.InDelta(t, c.want, smallPlan(Steady, c.arrivals...).least(), 1e-9)
+		})
+	}
+	lost := long
+	lost.at = 4 * time.Second
+	p := smallPlan(Lost, lost, lost)
+	p.model.regions, p.model.engines = 2, 2
+	p.regions = []ident.Region{"q", "r"}
+	for i := range p.arrivals {
+		p.arrivals[i].region = lostRegion
+	}
+	// From 4 to 8 s one slot is left for a demand of two, and 1 s of it can wait.
+	require.InDelta(t, 3.0/5/2, p.least(), 1e-9)
+}
+
+// Guards against a floor that counts failed or unmeasured work, or a prefix twice.
+func TestFloor(t *testing.T) {
+	a := arrival{work: draft, tokens: 100, words: 300, shared: 200} // 1 s, 0.1 s of prefill, 0.2 s for the prefix
+	other := a
+	other.customer = 1
+	p := smallPlan(Steady, a, a, other)
+	ends := func(e ...end) []*outcome {
+		var out []*outcome
+		for i := range e {
+			out = append(out, &outcome{arrival: &p.arrivals[i], end: e[i]})
+		}
+		return out
+	}
+	require.InDelta(t, 1.3, p.floor(ends(completed)), 1e-9)
+	require.InDelta(t, (1.3+1.1+1.3)/3, p.floor(ends(completed, completed, completed)), 1e-9)
+	require.InDelta(t, 1.1, p.floor(ends(refused, completed)), 1e-9)
+	require.Zero(t, p.floor(ends(unknown)))
+	p.arrivals[0].at = -time.Second
+	require.InDelta(t, 1.1, p.floor(ends(completed, completed)), 1e-9)
+}
+
+// Guards against a load that depends on the policy or overloads the deployment.
+func TestPlan(t *testing.T) {
+	regions := []ident.Region{"a", "b", "c"}
+	homes := []bundle.Home{{Name: "a", Regions: regions[:1]}, {Name: "ab", Regions: regions[:2]}}
+	for _, c := range []Case{Steady, Peak} {
+		m := newModel(c, 3, 18, 20*time.Second)
+		first, again := newPlan(m, 7, regions, homes), newPlan(m, 7, regions, homes)
+		require.Equal(t, first.arrivals, again.arrivals)
+		require.NotEqual(t, first.arrivals, newPlan(m, 8, regions, homes).arrivals)
+		used := 0.0
+		for seed := range uint64(10) {
+			p := newPlan(m, seed, regions, homes)
+			require.Less(t, float64(len(p.arrivals)), 150*(m.length+m.warm()).Seconds())
+			for i := range p.arrivals {
+				a := &p.arrivals[i]
+				require.True(t, slices.Contains(p.allowed(a), regions[a.region]))
+				if a.measured() && a.completion() {
+					used += m.ideal(a, false).Seconds() / slots / m.length.Seconds() / 10
+				}
+			}
+		}
+		want := map[Case]float64{Steady: 0.65, Peak: (0.5 + 0.5 + 1) / 3}[c]
+		require.InDelta(t, want, used, 0.06, c)
+	}
+}
+
+// Guards against a wrong setting that is noticed only after other trials have run,
+// or that doesn't say which flag is meant.
+func TestWrongSettings(t *testing.T) {
+	_, err := ParseCases("steady,storm")
+	require.ErrorContains(t, err, "--case")
+	_, err = ParsePolicies("best")
+	require.ErrorContains(t, err, "--policy")
+	all, err := ParseCases("all")
+	require.NoError(t, err)
+	require.Equal(t, Cases(), all)
+	for flag, s := range map[string]Series{
+		"--deployment": {Deployment: "x", Cases: all, Policies: Policies(), For: time.Second},
+		"--for":        {Deployment: stage.Kgosi, Cases: all, Policies: Policies()},
+	} {
+		s.Out, s.Note = &bytes.Buffer{}, &bytes.Buffer{}
+		require.ErrorContains(t, s.Run(t.Context()), flag)
+	}
+}
+
+// Guards against a ratio that is called met without a figure to compare with, or
+// missed for the wrong reason.
+func TestTargets(t *testing.T) {
+	class := func(ms float64) Classes {
+		s := Spread{P99: ms}
+		return Classes{stage.Short: {First: s, Wait: s}, stage.Long: {First: s, Wait: s}}
+	}
+	all := []Result{
+		{Case: Steady, Policy: "tanager", Classes: class(10), Cost: 1.04, Floor: 1},
+		{Case: Steady, Policy: "single", Classes: class(50)},
+		{Case: Slowed, Policy: "tanager", Classes: class(14), Cost: 1.2, Floor: 1},
+		{Case: Slowed, Policy: "robin", Classes: class(28)},
+	}
+	met := map[string]bool{}
+	for _, x := range targets(all) {
+		met[x.name] = x.met()
+	}
+	require.Equal(t, map[string]bool{
+		"steady: p99 wait of short work against a single queue": true,
+		"steady: cost against the least possible":               true,
+		"slowed: cost against the least possible":               false,
+		"slowed: p99 first of short work against steady":        false,
+		"slowed: p99 first of long work against steady":         false,
+		"slowed: p99 first of short work against robin":         true,
+		"slowed: p99 first of long work against robin":          true,
+	}, met)
+	var out bytes.Buffer
+	printTargets(&out, all)
+	require.Contains(t, out.String(), "missed")
+}
