fix(entry): never say 'not run' of a ticket that can't be read

Cause: a ticket under a key that was removed in a rotation was answered 400, not run, although its order may have run. The validity of tickets could also be longer than the 10 minutes for which peers remember an heir.

--- a/bundle/check.go
+++ b/bundle/check.go
@@ -16,9 +16,11 @@
 const (
 	maxName = 64
 	// maxVersion is the largest number that every JSON tool represents exactly.
-	maxVersion  = 1<<53 - 1
-	maxUrgency  = 15
-	maxSpan     = 24 * 60 * clock.Minute
+	maxVersion = 1<<53 - 1
+	maxUrgency = 15
+	maxSpan    = 24 * 60 * clock.Minute
+	// maxValidity stays below the 10 minutes for which peers remember an heir.
+	maxValidity = 5 * clock.Minute
 	maxTokens   = 1_000_000_000
 	maxCount    = 1_000_000
 	maxBody     = ident.Bytes(1) << 30
@@ -172,7 +174,7 @@
 			lowest = 1
 		}
 	}
-	within(c, path+".validity", s.Validity, lowest, maxSpan)
+	within(c, path+".validity", s.Validity, lowest, maxValidity)
 }
 
 func (c *checker) call(path string, before []Call, a Call) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"io"
 	"net/http"
 	"strings"
@@ -16,6 +17,7 @@
 	"github.com/tanagerbridge/tanagerbridge/fakes"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/stage"
+	"github.com/tanagerbridge/tanagerbridge/ticket"
 )
 
 // testLimit bounds one test; it only ends tests that hang.
@@ -103,25 +105,28 @@
 	address := "http://" + s.CallerAddress(s.Regions()[0])
 	tests := []struct {
 		name, method, path, body string
-		header                   string
+		header                   http.Header
 		status                   int
 		kind                     caller.Reason
+		ran                      caller.Ran
 	}{
-		{"large body", "POST", "/v1/chat/completions", strings.Repeat("a", 2<<20), "", 413, caller.ReasonBody},
-		{"no JSON", "POST", "/v1/chat/completions", "{", "", 400, caller.ReasonMalformed},
-		{"no messages", "POST", "/v1/chat/completions", `{"messages":[]}`, "", 400, caller.ReasonMalformed},
-		{"unknown service", "GET", "/v1/call/nowhere/x", "", "", 404, caller.ReasonService},
-		{"unknown call", "DELETE", "/v1/call/order-desk/orders", "", "", 404, caller.ReasonService},
-		{"unknown path", "GET", "/v2", "", "", 404, caller.ReasonService},
-		{"unknown home", "GET", "/v1/call/order-desk/stock", "", "moon", 400, caller.ReasonHome},
-		{"no ticket", "POST", "/v1/call/order-desk/orders", `{"order":"1"}`, "", 428, caller.ReasonTicket},
+		{"large body", "POST", "/v1/chat/completions", strings.Repeat("a", 2<<20), nil, 413, caller.ReasonBody, caller.RanNo},
+		{"no JSON", "POST", "/v1/chat/completions", "{", nil, 400, caller.ReasonMalformed, caller.RanNo},
+		{"no messages", "POST", "/v1/chat/completions", `{"messages":[]}`, nil, 400, caller.ReasonMalformed, caller.RanNo},
+		{"unknown service", "GET", "/v1/call/nowhere/x", "", nil, 404, caller.ReasonService, caller.RanNo},
+		{"unknown call", "DELETE", "/v1/call/order-desk/orders", "", nil, 404, caller.ReasonService, caller.RanNo},
+		{"unknown path", "GET", "/v2", "", nil, 404, caller.ReasonService, caller.RanNo},
+		{"unknown home", "GET", "/v1/call/order-desk/stock", "", http.Header{caller.HeaderHome: {"moon"}}, 400, caller.ReasonHome, caller.RanNo},
+		{"no ticket", "POST", "/v1/call/order-desk/orders", `{"order":"1"}`, nil, 428, caller.ReasonTicket, caller.RanNo},
+		{"malformed ticket", "POST", "/v1/call/order-desk/orders", "", http.Header{caller.HeaderTicket: {"x"}}, 400, caller.ReasonMalformed, caller.RanUnknown},
+		{"ticket of a removed key", "POST", "/v1/call/order-desk/orders", "", http.Header{caller.HeaderTicket: {removedKey(t)}}, 504, caller.ReasonUnknown, caller.RanUnknown},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			req, err := http.NewRequestWithContext(ctx, tt.method, address+tt.path, strings.NewReader(tt.body))
 			require.NoError(t, err)
-			if tt.header != "" {
-				req.Header.Set(caller.HeaderHome, tt.header)
+			if tt.header != nil {
+				req.Header = tt.header
 			}
 			resp, err := http.DefaultClient.Do(req)
 			require.NoError(t, err)
@@ -130,11 +135,19 @@
 			require.NoError(t, resp.Body.Close())
 			require.Equal(t, tt.status, resp.StatusCode, string(body))
 			require.Contains(t, string(body), `"kind":"`+string(tt.kind)+`"`)
-			require.Equal(t, string(caller.RanNo), resp.Header.Get(caller.HeaderRan))
+			require.Equal(t, string(tt.ran), resp.Header.Get(caller.HeaderRan))
 		})
 	}
 }
 
+// removedKey returns a ticket under a key that no entry has any more.
+func removedKey(t *testing.T) string {
+	t.Helper()
+	keys, err := ticket.ParseKeys("old=" + base64.StdEncoding.EncodeToString(make([]byte, 32)))
+	require.NoError(t, err)
+	return keys.Encode(ticket.Ticket{Entry: "entry-1", Incarnation: 1, Sequence: 1, Service: "order-desk"})
+}
+
 // Guards against a resumed stream that belongs to another caller: callers choose
 // their request ids, and two entries may send the same id to one engine.
 func TestEqualRequestIDsDoNotMixAnswers(t *testing.T) {
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -14,7 +14,9 @@
 	"github.com/tanagerbridge/tanagerbridge/caller"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/core"
+	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/ticket"
 )
 
 func (s *Server) callerRoutes() http.Handler {
@@ -104,7 +106,7 @@
 	if text := r.Header.Get(caller.HeaderTicket); text != "" {
 		t, err := s.tickets.Decode(text)
 		if err != nil {
-			return h, malformed(err.Error())
+			return h, unreadable(err)
 		}
 		h.Ticket = &t
 	}
@@ -167,6 +169,17 @@
 	return &core.Refusal{Reason: caller.ReasonMalformed, Ran: caller.RanNo, Text: text}
 }
 
+// unreadable refuses a ticket that this entry can't read. It never says "not run":
+// the order may have been run under a key that is no longer in the settings.
+func unreadable(err error) *core.Refusal {
+	r := malformed(err.Error())
+	r.Ran = caller.RanUnknown
+	if fault.KindOf[ticket.Kind](err) != ticket.KindMalformed {
+		r.Reason = caller.ReasonUnknown
+	}
+	return r
+}
+
 // refuse answers a request with an error body.
 func (s *Server) refuse(w http.ResponseWriter, id ident.Request, r *core.Refusal) {
 	s.metrics.refused(r.Reason)
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -69,6 +69,8 @@
 	"crasher":  on(crasher),
 	"crashed":  on(crashed),
 	"named":    on(named),
+	"unnamed":  on(unnamed),
+	"digest":   on(digest),
 	"sleep":    on(sleep),
 }
 
@@ -390,6 +392,33 @@
 	return errors.Errorf("%s is not named", args[1])
 }
 
+// unnamed ENTRY OTHER waits until locate at ENTRY no longer names OTHER.
+func unnamed(s *scene, args []string) error {
+	return eventually(func() error {
+		if named(s, args) == nil {
+			return errors.Errorf("%s still names %s", args[0], args[1])
+		}
+		return nil
+	})
+}
+
+// digest NAME... checks that each entry has the document that the first of them
+// had under this version.
+func digest(s *scene, args []string) error {
+	for _, name := range args {
+		got, err := s.statusOf(name)
+		if err != nil {
+			return err
+		}
+		first, ok := s.digests[got.Version]
+		if ok && first != got.Digest {
+			return errors.Errorf("%s has another document under version %d", name, got.Version)
+		}
+		s.digests[got.Version] = got.Digest
+	}
+	return nil
+}
+
 // sleep DURATION lets time pass.
 func sleep(_ *scene, args []string) error {
 	d, err := time.ParseDuration(args[0])
--- a/proof/scene_test.go
+++ b/proof/scene_test.go
@@ -40,6 +40,7 @@
 	orders    map[string]*order
 	prompts   []promise
 	batches   []*batch
+	digests   map[ident.Version]string
 }
 
 // scenes finds the deployment of a running script.
@@ -101,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &scene{ctx: ctx, binary: binary, stage: s, processes: make(map[string]*process), orders: make(map[string]*order)}, nil
+	return &scene{ctx: ctx, binary: binary, stage: s, processes: make(map[string]*process), orders: make(map[string]*order), digests: make(map[ident.Version]string)}, nil
 }
 
 func (s *scene) close() {
