feat(trial): stop an entry that runs as a process in case paused

Cause: nothing stops an entry within the process, so that case paused ended with an error. Change: one entry of the first region runs as a process of the program, on the list of the stage, and gets SIGSTOP and SIGCONT; the test binary stands for the program in tests.

--- a/cmd/trial.go
+++ b/cmd/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"strings"
 	"time"
 
@@ -52,9 +53,14 @@
 			return err
 		}
 	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
 	s := trial.Series{
 		Deployment: c.String("deployment"), Cases: cases, Policies: policies, Seed: c.Uint64("seed"),
-		For: c.Duration("for"), JSON: c.Bool("json"), Out: c.Root().Writer, Note: c.Root().ErrWriter, Log: log,
+		For: c.Duration("for"), JSON: c.Bool("json"), Out: c.Root().Writer, Note: c.Root().ErrWriter,
+		Program: program, Log: log,
 	}
 	return s.Run(ctx)
 }
--- a/trial/fault.go
+++ b/trial/fault.go
@@ -43,6 +43,8 @@
 		steps = append(steps, step{1.0 / 3, x.cut})
 	case Lost:
 		steps = append(steps, step{1.0 / 3, x.lose})
+	case Paused:
+		steps = append(steps, step{0.25, x.stop})
 	case Crasher:
 		for i := range crashSends {
 			steps = append(steps, step{float64(i+1) / (crashSends + 2), x.crash})
--- a/trial/run.go
+++ b/trial/run.go
@@ -20,6 +20,8 @@
 	// off and counts as unknown.
 	drainFactor = 1
 	drainLeast  = 10 * time.Second
+	// entries is the number of entries of both deployments today.
+	entries = 4
 	// idleConnections keeps the callers' connections open between requests.
 	idleConnections = 128
 )
@@ -36,8 +38,10 @@
 	begun, ended reading
 	// crashing is the request that crashes engines in case Crasher.
 	crashing []*outcome
-	records  []fakes.Record
-	calls    []fakes.Call
+	// process is the entry of case Paused that runs outside.
+	process *process
+	records []fakes.Record
+	calls   []fakes.Call
 }
 
 // reading is what the deployment's counters show at one time.
@@ -52,6 +56,9 @@
 	times := clock.NewSystem()
 	settings := stageConfig(&cfg, enginesOf(cfg.Deployment))
 	settings.Clock = times
+	if cfg.Case == Paused {
+		settings.Entries, settings.ListLag = entries-1, pausedListLag
+	}
 	var err error
 	if x.stage, err = stage.Start(ctx, settings); err != nil {
 		return nil, fault.Wrap("start", KindRun, err)
@@ -74,6 +81,11 @@
 func (x *run) prepare(ctx context.Context, times clock.Clock) error {
 	ready, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
+	if x.cfg.Case == Paused {
+		if err := x.launch(ctx); err != nil {
+			return err
+		}
+	}
 	if err := x.stage.Ready(ready); err != nil {
 		return err
 	}
@@ -89,15 +101,14 @@
 	return x.connect()
 }
 
-// known waits until every entry knows every endpoint. An entry whose first read of
-// the list came too early is ready without endpoints and reads again after 5 s only,
-// which would favour some regions and policies.
+// known waits until every entry knows every endpoint and every other entry. One
+// that learns of some later than others would favour regions and policies.
 func (x *run) known(ctx context.Context) error {
 	want := len(x.stage.Engines) + len(x.stage.Services)
 	for _, e := range x.stage.Entries() {
 		for {
 			st, err := statusOf(ctx, e)
-			if err == nil && len(st.Endpoints) == want {
+			if err == nil && len(st.Endpoints) == want && len(st.Members) >= entries-1 {
 				break
 			}
 			if err := pause(ctx, watchGap); err != nil {
@@ -179,6 +190,9 @@
 }
 
 func (x *run) close() {
+	if x.process != nil {
+		x.process.end()
+	}
 	x.stage.Close()
 	runtime.GC()
 }
--- a/trial/table.go
+++ b/trial/table.go
@@ -32,7 +32,9 @@
 	Out  io.Writer
 	// Note takes what goes wrong, a line each.
 	Note io.Writer
-	Log  *zap.Logger
+	// Program and Log are those of Config.
+	Program string
+	Log     *zap.Logger
 }
 
 // ParseCases reads a list separated by commas, or "all".
@@ -104,7 +106,7 @@
 
 func (s *Series) config(c Case, policy string) Config {
 	return Config{
-		Deployment: s.Deployment, Case: c, Policy: policy, Seed: s.Seed, For: s.For, Log: s.Log,
+		Deployment: s.Deployment, Case: c, Policy: policy, Seed: s.Seed, For: s.For, Program: s.Program, Log: s.Log,
 		Violation: func(text string) { _, _ = fmt.Fprintf(s.Note, "%s %s: violation of %s\n", c, policy, text) },
 	}
 }
