fix(core): count only broken tries against the attempts

Cause: tries that an endpoint refused without running them counted against the bundle's attempts, so a request that met leaving endpoints first was given up at its first broken stream. Change: losses are counted apart from refusals and dispatches.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -24,7 +24,7 @@
  "services": [{"name": "chat", "kind": "engine", "regions": ["r1", "r2"], "transit": false, "continue": true, "fence": true, "model": "m", "validity": 0, "calls": []},
               {"name": "desk", "kind": "plain", "regions": ["r1", "r2"], "transit": false, "continue": false, "fence": false, "model": "", "validity": 60000,
                "calls": [{"method": "GET", "path": "/stock", "idempotent": true, "hedge": true}, {"method": "POST", "path": "/orders", "idempotent": false, "hedge": false}]}],
- "limits": {"body": 1048576, "queue": 64, "caller": 64, "answers": 1048576},
+ "limits": {"body": 1048576, "queue": 64, "caller": 64, "answers": 1048576, "loads": 1},
  "retry": {"share": 0.1, "burst": 10, "attempts": 3},
  "weights": {"away": 1, "cost": 1, "short": 1, "tail": 1},
  "links": []}`
@@ -278,3 +278,19 @@
 		require.IsType(t, core.Dispatch{}, a)
 	}
 }
+
+// Guards against a request that is given up after its first broken try because
+// endpoints that were leaving had refused it before.
+func TestRefusalsDoNotUseUpAttempts(t *testing.T) {
+	b := newBench(t, "e1", "r1", 1, 1000)
+	actions := b.Apply(b.now, chat("a"))
+	for range 3 {
+		d := only[core.Dispatch](t, actions)
+		actions = b.Apply(b.now, core.Ended{Request: "a", Try: d.Try, Outcome: fleet.Refused})
+	}
+	d := only[core.Dispatch](t, actions)
+	b.Apply(b.now, core.Ended{Request: "a", Try: d.Try, Outcome: fleet.Broken})
+	b.Apply(b.now, core.Ended{Request: "a", Try: d.Try, Outcome: fleet.Broken})
+	again := b.Apply(b.now, core.Ended{Request: "a", Try: d.Try, Outcome: fleet.Broken})
+	only[core.Dispatch](t, append(again, b.wait(clock.Second)...))
+}
--- a/core/ended.go
+++ b/core/ended.go
@@ -187,7 +187,8 @@
 	}
 	r.avoid = append(r.avoid, t.endpoint)
 	attempts := c.force.Current().Retry.Attempts
-	if r.number >= attempts {
+	r.losses++
+	if r.losses >= int(attempts) {
 		c.fail(now, r, "the answer broke off and no try is left")
 		return
 	}
--- a/core/request.go
+++ b/core/request.go
@@ -29,8 +29,9 @@
 	tries  []*try
 	number ident.Try
 	won    ident.Try
-	// refusals counts tries that ended without being run.
+	// refusals counts tries that ended without being run, losses those that broke off.
 	refusals int
+	losses   int
 	// budgeted says that the next try is a retry and needs the retry budget.
 	budgeted bool
 	mode     Mode
