feat(bundle): bound model loads and name a key for orders

Cause: nothing bounds how many engines of a region draw a model from the weight store at a time, and no call can say that its service tells equal orders by a key. Change: limits.loads (required, at least 1) and calls[].dedupe (Idempotency-Key or X-Idempotency-Key, only for calls that are not idempotent), with their checks, and the field in all documents of tests and stage.

--- a/bundle/check.go
+++ b/bundle/check.go
@@ -80,6 +80,7 @@
 	within(c, "limits.queue", d.Limits.Queue, 1, maxCount)
 	within(c, "limits.caller", d.Limits.Caller, 1, maxCount)
 	within(c, "limits.answers", d.Limits.Answers, 0, maxAnswers)
+	within(c, "limits.loads", d.Limits.Loads, 1, maxCount)
 	within(c, "retry.share", d.Retry.Share, 0, 1)
 	within(c, "retry.burst", d.Retry.Burst, 0, maxBurst)
 	within(c, "retry.attempts", d.Retry.Attempts, 1, maxAttempts)
@@ -183,8 +184,15 @@
 	twice := slices.ContainsFunc(before, func(o Call) bool { return o.Method == a.Method && o.Path == a.Path })
 	c.require(!twice, path+".path", "call %s %s is declared twice", a.Method, a.Path)
 	c.require(a.Idempotent || !a.Hedge, path+".hedge", "a call that is not idempotent can't be hedged")
+	c.require(a.Dedupe == "" || !a.Idempotent, path+".dedupe", "an idempotent call needs no key")
+	c.require(a.Dedupe == "" || slices.Contains(keyHeaders(), a.Dedupe), path+".dedupe", "%.64q is not one of %v", a.Dedupe, keyHeaders())
 }
 
+// keyHeaders lists the headers that a service may take a key in. http.Transport
+// repeats a request that has one of them, but only on a reused connection, and
+// calls that are not idempotent are always sent on a fresh one.
+func keyHeaders() []string { return []string{"Idempotency-Key", "X-Idempotency-Key"} }
+
 func (c *checker) links() {
 	list := c.document.Links
 	for i, l := range list {
--- a/bundle/doc.go
+++ b/bundle/doc.go
@@ -81,6 +81,10 @@
 	Path       string `json:"path"`
 	Idempotent bool   `json:"idempotent"`
 	Hedge      bool   `json:"hedge"`
+	// Dedupe names the header in which the service takes a key by which it carries
+	// out equal calls only once; empty if it has none. Only calls that are not
+	// idempotent have it.
+	Dedupe string `json:"dedupe"`
 }
 
 // Limits bounds what an entry accepts and keeps.
@@ -93,6 +97,9 @@
 	Caller int `json:"caller"`
 	// Answers bounds the memory for the answers that the ticket ledger keeps.
 	Answers ident.Bytes `json:"answers"`
+	// Loads is the largest number of engines of one region that load a model at the
+	// same time, which bounds what they draw from the weight store.
+	Loads int `json:"loads"`
 }
 
 // Retry bounds retries and hedges.
--- a/cmd/bundle_test.go
+++ b/cmd/bundle_test.go
@@ -16,7 +16,7 @@
  "classes": [{"name": "long", "urgency": 1, "first": 8000, "between": 54, "deadline": 120000, "tokens": 0, "share": 0.75}],
  "services": [{"name": "order-desk", "kind": "plain", "regions": ["kzn"], "validity": 60000,
    "calls": [{"method": "POST", "path": "/orders", "idempotent": false}]}],
- "limits": {"body": 1048576, "queue": 512, "caller": 64, "answers": 16777216},
+ "limits": {"body": 1048576, "queue": 512, "caller": 64, "answers": 16777216, "loads": 1},
  "retry": {"share": 0.1, "burst": 10, "attempts": 3},
  "weights": {"away": 1, "cost": 1, "short": 1, "tail": 1}, "links": []}`
 
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -184,7 +184,7 @@
 			{Name: "short", Urgency: 0, First: 1600, Between: 54, Deadline: 20 * clock.Second, Tokens: 256, Share: 1},
 			{Name: "long", Urgency: 1, First: 8000, Between: 54, Deadline: 120 * clock.Second, Share: 0.75},
 		},
-		Limits:  bundle.Limits{Body: 1 << 20, Queue: 512, Caller: 256, Answers: 16 << 20},
+		Limits:  bundle.Limits{Body: 1 << 20, Queue: 512, Caller: 256, Answers: 16 << 20, Loads: 1},
 		Retry:   bundle.Retry{Share: 0.1, Burst: 10, Attempts: 3},
 		Weights: bundle.Weights{Away: 1, Cost: 1, Short: 1, Tail: 1},
 		Links:   []bundle.Link{},
--- a/stage/bundle.go
+++ b/stage/bundle.go
@@ -24,7 +24,7 @@
 	d := &bundle.Document{
 		Version: 1, Deployment: s.cfg.Deployment, Regions: s.plan.regions,
 		Homes: s.homes(), Classes: s.classes(), Services: s.services(),
-		Limits:  bundle.Limits{Body: 1 << 20, Queue: 512, Caller: 64, Answers: 16 << 20},
+		Limits:  bundle.Limits{Body: 1 << 20, Queue: 512, Caller: 64, Answers: 16 << 20, Loads: 1},
 		Retry:   bundle.Retry{Share: 0.1, Burst: 10, Attempts: 3},
 		Weights: weights(s.cfg.Deployment),
 	}
