fix(entry): let a new instance take its peers' bundle first

Cause: when two operators publish different documents under one version, running entries keep the first, but an instance that is replaced afterwards took the second from the configuration service, so that entries differed under one version. Change: a new instance waits until it has heard from its peers and had up to 2 s to fetch their bundle before it reads the configuration service; alone it reads at once. Result: race.txtar fails without the wait (c1 has another document under version 4) and passes with it.

--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -36,6 +36,9 @@
 	reportBytes = 64 << 10
 	// listPeriod is the time between two reads of the list, which lags anyway.
 	listPeriod = 5 * clock.Second
+	// peerBundleLimit is how long a new entry waits for its peers' bundle; a megabyte
+	// takes 0.1 s on the thinnest link.
+	peerBundleLimit = 2 * clock.Second
 	// bundleWatchers is how many entries of a region wait on the configuration service.
 	bundleWatchers = 2
 )
@@ -62,9 +65,33 @@
 		URL: s.settings.Platform.Values, Name: s.settings.Platform.Value, Seed: randomNumber(),
 		Watching: s.watching,
 	})
+	s.awaitPeers(ctx)
 	_ = values.Run(ctx, s.offer)
 }
 
+// awaitPeers waits until the peers had time to hand over the bundle that they have
+// in force. Without it, a new process could take another document under the same
+// version from the configuration service and differ from all others.
+func (s *Server) awaitPeers(ctx context.Context) {
+	var end clock.Time
+	for ctx.Err() == nil && s.shell.force.Current() == nil {
+		now := s.clock.Now()
+		if end == 0 && s.node.Ready() {
+			if len(s.node.Live()) == 0 {
+				return
+			}
+			end = now.Add(peerBundleLimit)
+		}
+		if end != 0 && now.After(end) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(tickPeriod.Duration()):
+		}
+	}
+}
+
 // watching tells whether this entry is one of the few of its region that watch.
 func (s *Server) watching() bool {
 	var live []ident.Entry
@@ -176,6 +203,9 @@
 	Waiting  int            `json:"waiting"`
 	Age      clock.Span     `json:"age"`
 	Prefixes []ident.Prefix `json:"prefixes"`
+	// Models is nil if the endpoint doesn't tell its models.
+	Models  *[]string `json:"models"`
+	Loading []string  `json:"loading"`
 }
 
 func (s *Server) loadOf(ctx context.Context, address string) (fleet.Report, error) {
@@ -195,8 +225,12 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, reportBytes)).Decode(&l); err != nil {
 		return fleet.Report{}, errors.Wrap(err, "load report")
 	}
-	return fleet.Report{
+	report := fleet.Report{
 		Age: l.Age, State: fleet.Condition(l.State), Slots: l.Slots, Running: l.Running,
-		Waiting: l.Waiting, Prefixes: l.Prefixes,
-	}, nil
+		Waiting: l.Waiting, Prefixes: l.Prefixes, Loading: l.Loading,
+	}
+	if l.Models != nil {
+		report.Lists, report.Models = true, *l.Models
+	}
+	return report, nil
 }
