feat(assign): order models for engines that lack them

Cause: an engine that came back without its model stayed without it, and requests were still sent there.

--- a/core/action.go
+++ b/core/action.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"github.com/tanagerbridge/tanagerbridge/assign"
 	"github.com/tanagerbridge/tanagerbridge/caller"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -73,6 +74,12 @@
 	Ticket  ticket.Ticket
 }
 
+// Order tells an engine to load a model. The shell asks ConfirmOrder before it sends
+// it and reports its result with Ordered.
+type Order struct {
+	assign.Order
+}
+
 // Push sends news to the peers at once instead of with the next probe.
 type Push struct{}
 
@@ -83,6 +90,7 @@
 func (Deliver) action()  {}
 func (Ask) action()      {}
 func (Push) action()     {}
+func (Order) action()    {}
 
 // Refusal is the answer to a request that gets no answer of an endpoint.
 type Refusal struct {
--- a/core/core.go
+++ b/core/core.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/tanagerbridge/tanagerbridge/assign"
 	"github.com/tanagerbridge/tanagerbridge/budget"
 	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/burn"
@@ -60,9 +61,12 @@
 	suspects *crash.Suspects
 	ledger   *ledger.Ledger
 	burn     *burn.Meter
-	hints    hints
-	sizes    sizes
-	counts   Counts
+	planner  *assign.Planner
+	// planned is when model orders were last planned.
+	planned clock.Time
+	hints   hints
+	sizes   sizes
+	counts  Counts
 
 	requests requestTable
 	members  []member.Member
@@ -100,6 +104,7 @@
 		Entry: cfg.Entry, Incarnation: cfg.Incarnation, Margin: ledgerMargin,
 	})
 	c.burn = burn.New(burn.Config{Entry: cfg.Entry})
+	c.planner = assign.New(assign.Config{Entry: cfg.Entry, Region: cfg.Region, Seed: cfg.Seed})
 	c.queue = queue.New(queue.Config{})
 	c.retries = budget.NewRetry(0, 0)
 	return c
@@ -130,6 +135,8 @@
 		c.missed(now, e)
 	case Heard:
 		c.heard(now, e.News)
+	case Ordered:
+		c.planner.Done(now, e.Number, e.Result)
 	case Bundled:
 		c.pumpAll(now)
 	case Tick:
@@ -154,6 +161,9 @@
 	c.retries = budget.NewRetry(doc.Retry.Share, doc.Retry.Burst)
 	c.links = linkBudgets(doc, c.region)
 	c.burn.Objectives(doc.Classes)
+	for i := range doc.Services {
+		c.fleet.Want(doc.Services[i].Name, doc.Services[i].Model)
+	}
 }
 
 func linkBudgets(doc *bundle.Document, from ident.Region) []linkBudget {
@@ -182,6 +192,7 @@
 
 func (c *Core) reported(now clock.Time, e Reported) {
 	c.fleet.Report(now, e.Endpoint, e.Report)
+	c.planner.Report(now, e.Endpoint, assign.Report{Lists: e.Report.Lists, Models: e.Report.Models, Loading: e.Report.Loading})
 	if e.Report.State == fleet.ConditionLeaving {
 		c.depart(now, e.Endpoint)
 	}
--- a/core/event.go
+++ b/core/event.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"github.com/tanagerbridge/tanagerbridge/assign"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fleet"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -111,6 +112,12 @@
 // Bundled says that another bundle version came into force.
 type Bundled struct{}
 
+// Ordered says what became of a model order.
+type Ordered struct {
+	Number assign.Number
+	Result assign.Result
+}
+
 // Tick says that time has passed.
 type Tick struct{}
 
@@ -133,3 +140,4 @@
 func (Bundled) event()  {}
 func (Tick) event()     {}
 func (Draining) event() {}
+func (Ordered) event()  {}
--- a/core/status.go
+++ b/core/status.go
@@ -28,7 +28,7 @@
 
 // Counters lists the counts with their names, in a fixed order.
 func (c *Core) Counters() []status.Counter {
-	k := c.counts
+	k, o := c.counts, c.planner.Counts()
 	return []status.Counter{
 		{Name: "dispatched", Value: k.Dispatched},
 		{Name: "away", Value: k.Away},
@@ -42,6 +42,11 @@
 		{Name: "gone", Value: k.Gone},
 		{Name: "crashes", Value: k.Crashes},
 		{Name: "misrouted", Value: k.Misrouted},
+		{Name: "ordered", Value: o.Accepted},
+		{Name: "present", Value: o.Present},
+		{Name: "outdated", Value: o.Stale},
+		{Name: "deferred", Value: o.Later},
+		{Name: "unordered", Value: o.Failed},
 	}
 }
 
--- a/core/tick.go
+++ b/core/tick.go
@@ -5,6 +5,7 @@
 )
 
 func (c *Core) tick(now clock.Time) {
+	c.plan(now, now.Sub(c.lastTick) >= pauseLimit)
 	c.lastTick = now
 	for _, i := range c.queue.Expire(now) {
 		c.refuseWaiting(now, i.Request, "no endpoint was free before the deadline")
--- a/entry/server.go
+++ b/entry/server.go
@@ -118,6 +118,7 @@
 		Address: s.Address(), Seed: seed, Force: force, Policy: policy,
 	}))
 	s.shell.incarnation = incarnation
+	s.shell.order = s.order
 	return nil
 }
 
--- a/entry/shell.go
+++ b/entry/shell.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"sync"
 
+	"github.com/tanagerbridge/tanagerbridge/assign"
 	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/core"
@@ -28,6 +29,8 @@
 	force       *bundle.Force
 	incarnation ident.Incarnation
 	peers       peers
+	// order sends a model order and reports its result.
+	order func(assign.Order)
 
 	mu      sync.Mutex
 	core    *core.Core
@@ -71,6 +74,8 @@
 			}
 		case core.Ask:
 			go s.ask(a)
+		case core.Order:
+			go s.order(a.Order)
 		case core.Dispatch:
 			s.post(a.Request, a)
 		case core.Win:
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -39,6 +40,12 @@
 	Waiting int
 	// Prefixes are the prompt prefixes in the endpoint's cache.
 	Prefixes []ident.Prefix
+	// Lists says that the endpoint tells which models it has loaded. One that
+	// doesn't counts as having its service's model.
+	Lists  bool
+	Models []string
+	// Loading are the models that it is loading.
+	Loading []string
 }
 
 const (
@@ -78,6 +85,9 @@
 	// heard is when a report last came.
 	heard    clock.Time
 	reported bool
+	// lists and models are what the last report said of models.
+	lists  bool
+	models []string
 	// load is what the last report said, others its part that is not of this entry.
 	load     float64
 	others   float64
@@ -156,10 +166,20 @@
 	e.load = float64(max(0, r.Running) + max(0, r.Waiting))
 	e.others = max(0, e.load-float64(e.inFlightAt(at)))
 	e.cache(r.Prefixes)
-	e.turn(now, at, r.State)
+	e.lists, e.models = r.Lists, r.Models
+	state := r.State
+	if state == ConditionReady && !e.has(e.group.model) {
+		state = ConditionLoading
+	}
+	e.turn(now, at, state)
 	e.group.changed = true
 }
 
+// has reports whether the endpoint has a model loaded, as far as it says.
+func (e *endpoint) has(model string) bool {
+	return !e.lists || model == "" || slices.Contains(e.models, model)
+}
+
 // cache takes in the prefixes that the endpoint holds.
 func (e *endpoint) cache(held []ident.Prefix) {
 	if e.prefixes == nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
@@ -45,7 +46,8 @@
 	groups   []*group
 	attempts map[key]*attempt
 	// gone holds departures of endpoints that are not on the list, oldest first.
-	gone []departure
+	gone  []departure
+	wants []want
 	// synced says that a list has been seen.
 	synced bool
 }
@@ -70,6 +72,12 @@
 	Region   ident.Region
 }
 
+// want is the model that the endpoints of a service need.
+type want struct {
+	service ident.Service
+	model   string
+}
+
 // New returns an empty Fleet.
 func New(c Config) *Fleet {
 	return &Fleet{
@@ -186,13 +194,47 @@
 	if at < len(f.groups) && f.groups[at].service == s && f.groups[at].region == r {
 		return f.groups[at]
 	}
-	g := &group{service: s, region: r}
+	g := &group{service: s, region: r, model: f.model(s)}
 	f.groups = append(f.groups, nil)
 	copy(f.groups[at+1:], f.groups[at:])
 	f.groups[at] = g
 	return g
 }
 
+// Want sets the model that the endpoints of a service need. Those that say that they
+// have not got it get no work until they have.
+func (f *Fleet) Want(s ident.Service, model string) {
+	if f.model(s) == model {
+		return
+	}
+	f.wants = slices.DeleteFunc(f.wants, func(w want) bool { return w.service == s })
+	f.wants = append(f.wants, want{service: s, model: model})
+	for _, g := range f.groups {
+		if g.service == s {
+			g.want(model)
+		}
+	}
+}
+
+func (f *Fleet) model(s ident.Service) string {
+	for _, w := range f.wants {
+		if w.service == s {
+			return w.model
+		}
+	}
+	return ""
+}
+
+func (g *group) want(model string) {
+	g.model = model
+	g.changed = true
+	for _, e := range g.endpoints {
+		if e.state == Live && !e.has(model) {
+			e.state = Loading
+		}
+	}
+}
+
 // find returns the group of a service in a region, or nil.
 func (f *Fleet) find(s ident.Service, r ident.Region) *group {
 	for _, g := range f.groups {
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -77,6 +77,8 @@
 type group struct {
 	service ident.Service
 	region  ident.Region
+	// model is what the endpoints must have loaded; "" if they need none.
+	model string
 	// endpoints is in order of name.
 	endpoints []*endpoint
 	// began counts the attempts that this entry has started.
