feat(fakes): record the query of a stock lookup

Where a lookup was served could not be told from the plain service's records, so that regions were checked for orders only. A record now holds the lookup's query.

--- a/fakes/service.go
+++ b/fakes/service.go
@@ -70,7 +70,9 @@
 	Region   ident.Region   `json:"region"`
 	Method   string         `json:"method"`
 	// Order is the order number, as text; empty for other calls.
-	Order   string     `json:"order,omitempty"`
+	Order string `json:"order,omitempty"`
+	// Query is the query of a stock lookup; empty for other calls.
+	Query   string     `json:"query,omitempty"`
 	Arrived clock.Time `json:"arrived"`
 	// Placed says that the order took effect.
 	Placed bool `json:"placed"`
@@ -259,7 +261,7 @@
 
 func (s *Service) stock(w http.ResponseWriter, r *http.Request) {
 	request := ident.Request(r.Header.Get(headerRequest))
-	i := s.note(Call{Request: callerID(request), Method: r.Method})
+	i := s.note(Call{Request: callerID(request), Method: r.Method, Query: r.URL.RawQuery})
 	answer := StockAnswer{Query: r.URL.RawQuery, Stock: Stock(r.URL.RawQuery), Request: callerID(request)}
 	s.serve(w, i, request, answer)
 }
