feat(demo): run a deployment under faults and check every guarantee

People who try the project need one command that shows on a fresh machine what it guarantees. The platform double answers 503 until a list is published, because an empty list told the first entries that they were alone.

--- /dev/null
+++ b/cmd/demo.go
@@ -0,0 +1,38 @@
+package cmd
+
+import (
+	"context"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/demo"
+	"github.com/tanagerbridge/tanagerbridge/stage"
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run a deployment under traffic and faults in one process and check every guarantee",
+		Description: "Takes about 25 s and uses loopback addresses only. Exits 0 only if all guarantees were\n" +
+			"exercised and held.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Value: stage.Kgosi, Usage: strings.Join(demo.Deployments(), " or ")},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of random choices"},
+			&cli.BoolFlag{Name: "verbose", Usage: "write the entries' log lines to the error output"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			log := zap.NewNop()
+			if c.Bool("verbose") {
+				var err error
+				if log, err = newLogger(c, "info"); err != nil {
+					return err
+				}
+			}
+			return demo.Run(ctx, demo.Config{
+				Deployment: c.String("deployment"), Seed: c.Uint64("seed"), Out: c.Root().Writer, Log: log,
+			})
+		},
+	}
+}
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -146,20 +146,29 @@
 		writeError(w, http.StatusServiceUnavailable, "outage")
 		return
 	}
+	if p.unlisted() {
+		// An empty list would tell an entry that it is alone.
+		writeError(w, http.StatusServiceUnavailable, "no list yet")
+		return
+	}
 	view := ident.Region(r.URL.Query().Get("view"))
 	writeJSON(w, http.StatusOK, struct {
 		Instances []watch.Instance `json:"instances"`
 	}{p.seen(view)})
 }
 
+// unlisted reports whether no list has been published yet.
+func (p *Platform) unlisted() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.lists) == 0
+}
+
 // seen returns the list as it was one lag ago, with the addresses of the view.
 // The first list is seen at once.
 func (p *Platform) seen(view ident.Region) []watch.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.lists) == 0 {
-		return []watch.Instance{}
-	}
 	limit := time.Now().Add(-p.lag)
 	n := 0
 	for n+1 < len(p.lists) && !p.lists[n+1].at.After(limit) {
--- a/fakes/platform_test.go
+++ b/fakes/platform_test.go
@@ -77,7 +77,8 @@
 		require.NoError(t, json.Unmarshal([]byte(body), &out))
 		return out.Instances
 	}
-	require.Empty(t, seen("a"))
+	status, _, _ := get(t, p.URL()+"/v1/instances?view=a")
+	require.Equal(t, 503, status) // an empty list would tell an entry that it is alone
 	p.List([]watch.Instance{{Name: "e1", Address: "127.0.0.1:1"}})
 	p.Rewrite(fakes.Rewrite{View: "b", Name: "e1", Address: "127.0.0.1:2"})
 	require.Equal(t, "127.0.0.1:1", seen("a")[0].Address)
