feat(core): repeat a broken order when the service tells copies apart

Cause: a broken dispatch of a non-idempotent call always ended as unknown, even where the service de-duplicates by a key. Change: with dedupe in the bundle the entry sends the ticket's stable key in the named header and may repeat a broken try within the retry budget; from then on the call ends as done or unknown only. The stand-ins get keys, models, model orders and a weight store.

--- a/core/action.go
+++ b/core/action.go
@@ -37,6 +37,9 @@
 	Mode     Mode
 	// Once says that the call is not idempotent: no part of it may be sent twice.
 	Once bool
+	// Dedupe is the header in which Key is sent; "" for none.
+	Dedupe string
+	Key    string
 	// Begin is the longest wait for the first part of the answer, Stall the longest
 	// wait for any further part.
 	Begin clock.Span
--- a/core/admit.go
+++ b/core/admit.go
@@ -157,6 +157,9 @@
 		deadline: now.Add(class.Deadline),
 		mode:     Fresh,
 	}
+	if r.once {
+		r.dedupe = t.call.Dedupe
+	}
 	r.size = c.sizes.expect(e.Service, e.Prompt, e.Answer)
 	return r
 }
--- a/core/ended.go
+++ b/core/ended.go
@@ -118,9 +118,7 @@
 // broken handles a try that broke off after the request was sent.
 func (c *Core) broken(now clock.Time, r *request, t *try) {
 	if r.once {
-		c.fleet.End(now, r.Request, t.number, fleet.Broken, 0)
-		r.drop(t.number)
-		c.unknown(now, r)
+		c.brokenOnce(now, r, t)
 		return
 	}
 	if r.engine && !r.gone && t.resumes < maxResumes {
@@ -229,6 +227,10 @@
 
 // refuseUnrun ends a request that no endpoint has run.
 func (c *Core) refuseUnrun(now clock.Time, r *request, refusal *Refusal) {
+	if r.unsettled {
+		c.unknown(now, r)
+		return
+	}
 	if r.tokens > 0 || r.begun > 0 {
 		c.fail(now, r, refusal.Text)
 		return
@@ -258,7 +260,7 @@
 	if r == nil {
 		return
 	}
-	if r.once && (len(r.tries) > 0 || len(r.joined) > 0) {
+	if r.once && (len(r.tries) > 0 || len(r.joined) > 0 || r.unsettled) {
 		r.gone = true
 		return
 	}
--- a/core/place.go
+++ b/core/place.go
@@ -56,7 +56,7 @@
 		return false
 	}
 	_, refusal := c.lookUp(c.force.Current(), r.Head)
-	return refusal == nil
+	return refusal == nil && c.mayRepeat(r)
 }
 
 func (c *Core) rejectWaiting(now clock.Time, id ident.Request) {
@@ -152,11 +152,15 @@
 }
 
 func (c *Core) dispatchOf(r *request, t *try, mode Mode) Dispatch {
-	return Dispatch{
+	d := Dispatch{
 		Request: r.Request, Try: t.number, Endpoint: t.endpoint, Address: t.address,
 		Region: t.region, Urgency: r.class.Urgency, Mode: mode, Once: r.once,
 		Begin: r.class.Deadline, Stall: stallFactor * r.class.Between,
 	}
+	if r.dedupe != "" {
+		d.Dedupe, d.Key = r.dedupe, r.Ticket.Key()
+	}
+	return d
 }
 
 func (c *Core) count(t *try, choice route.Choice) {
@@ -187,7 +191,7 @@
 		return false
 	}
 	t, refusal := c.lookUp(c.force.Current(), r.Head)
-	return refusal == nil && slices.Contains(t.allowed, r.find(number).region)
+	return refusal == nil && c.mayRepeat(r) && slices.Contains(t.allowed, r.find(number).region)
 }
 
 func (c *Core) spend(now clock.Time, to ident.Region, size ident.Bytes) {
--- a/core/request.go
+++ b/core/request.go
@@ -15,7 +15,12 @@
 	// once says that the call is not idempotent.
 	once  bool
 	hedge bool
-	size  clock.Span
+	// dedupe is the header in which the endpoint gets the key of a call that is not
+	// idempotent; "" if it takes none.
+	dedupe string
+	// unsettled says that a try of such a call broke off and may have been run.
+	unsettled bool
+	size      clock.Span
 
 	arrived  clock.Time
 	deadline clock.Time
--- a/entry/call.go
+++ b/entry/call.go
@@ -151,6 +151,9 @@
 	}
 	req.Header = p.header.Clone()
 	req.Header.Set(caller.HeaderRequest, string(p.flight.wire(d.Try)))
+	if d.Dedupe != "" {
+		req.Header.Set(d.Dedupe, d.Key)
+	}
 	if !p.server.shell.confirm(d) {
 		return core.Ended{Outcome: fleet.Refused}
 	}
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -38,6 +38,8 @@
 	Reboot clock.Span
 	// Flat makes the engine ignore priorities.
 	Flat bool
+	// Models tells which models the engine has and how it loads others.
+	Models ModelConfig
 	// Clock gives the times of the records; the default is a new system clock.
 	Clock clock.Clock
 }
@@ -78,6 +80,10 @@
 	marker  string
 	delay   time.Duration
 	faults  EngineFaults
+	// started says that the engine was started before.
+	started   bool
+	deferrals int
+	ordered   []OrderRecord
 }
 
 // EngineFaults counts the streams that are still to be spoilt. One stream gets
@@ -115,7 +121,8 @@
 	if e.process != nil {
 		return
 	}
-	e.process = newProcess(e)
+	e.process = newProcess(e, !e.started)
+	e.started = true
 	e.ready = time.Now().Add(e.cfg.Load.Duration())
 }
 
@@ -132,7 +139,8 @@
 	e.shut()
 }
 
-// Restart starts a crashed engine at its old address, with a cold cache.
+// Restart starts a crashed engine at its old address, with a cold cache and, unless
+// it preloads them, without models.
 func (e *Engine) Restart() error {
 	e.boot()
 	return e.reopen(e.routes())
@@ -227,6 +235,7 @@
 	r.HandleFunc("/v1/chat/completions", e.complete).Methods(http.MethodPost)
 	r.HandleFunc("/v1/streams/{request}", e.resume).Methods(http.MethodGet)
 	r.HandleFunc("/v1/streams/{request}", e.cancel).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/orders", e.orders).Methods(http.MethodPost)
 	r.HandleFunc("/v1/load", e.load).Methods(http.MethodGet)
 	r.HandleFunc("/control", e.control).Methods(http.MethodPost)
 	r.HandleFunc("/control", e.account).Methods(http.MethodGet)
--- a/fakes/enginehttp.go
+++ b/fakes/enginehttp.go
@@ -64,8 +64,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	running, waiting, age := p.gauge.read()
+	models, loading := p.shelf.lists()
 	writeJSON(w, http.StatusOK, Load{
 		State: e.status(), Slots: e.cfg.Slots, Running: running, Waiting: waiting, Age: age, Prefixes: p.prefixes(),
+		Models: models, Loading: loading,
 	})
 }
 
@@ -88,6 +90,12 @@
 		return
 	}
 	p := e.current()
+	if p != nil && p.shelf.empty() {
+		e.log.add(request, j.hash, Refused)
+		w.Header().Set(headerState, string(StateLoading))
+		writeError(w, http.StatusServiceUnavailable, "the engine has no model")
+		return
+	}
 	if p == nil || !p.submit(j) {
 		panic(http.ErrAbortHandler)
 	}
--- a/fakes/load.go
+++ b/fakes/load.go
@@ -27,6 +27,9 @@
 	// Age is how old the counts are. The state is current.
 	Age      clock.Span     `json:"age"`
 	Prefixes []ident.Prefix `json:"prefixes,omitempty"`
+	// Models are the models that are loaded; absent if the endpoint doesn't tell.
+	Models  *[]string `json:"models,omitempty"`
+	Loading []string  `json:"loading,omitempty"`
 }
 
 // sample holds the counts from one point in time on.
--- a/fakes/process.go
+++ b/fakes/process.go
@@ -14,6 +14,7 @@
 	engine *Engine
 	dead   chan struct{}
 	gauge  *gauge
+	shelf  *shelf
 
 	mu       sync.Mutex
 	killed   bool
@@ -26,11 +27,12 @@
 	headsAt  time.Time
 }
 
-func newProcess(e *Engine) *process {
+func newProcess(e *Engine, first bool) *process {
 	return &process{
 		engine: e,
 		dead:   make(chan struct{}),
 		gauge:  newGauge(e.cfg.Lag),
+		shelf:  newShelf(e.cfg.Models, e.cfg.Region, first),
 		jobs:   map[ident.Request]*job{},
 		cache:  newCache(e.cfg.Memory, e.cfg.Block),
 	}
@@ -188,6 +190,7 @@
 	}
 	p.killed = true
 	close(p.dead)
+	p.shelf.stop()
 	for _, j := range p.waiting {
 		j.index = -1
 		p.engine.log.end(j.row, Lost, 0)
--- a/fakes/service.go
+++ b/fakes/service.go
@@ -30,6 +30,10 @@
 	Latency time.Duration
 	// Lag is how old load reports are.
 	Lag clock.Span
+	// Dedupe names the header with the key by which orders are told apart, and Keys
+	// holds the keys that all instances share. With nil, every order is placed.
+	Dedupe string
+	Keys   *Keys
 	// Clock gives the times of the records; the default is a new system clock.
 	Clock clock.Clock
 }
@@ -76,6 +80,8 @@
 	Arrived clock.Time `json:"arrived"`
 	// Placed says that the order took effect.
 	Placed bool `json:"placed"`
+	// Key is the key by which the order is told apart; empty without one.
+	Key string `json:"key,omitempty"`
 }
 
 // Count is how often something was placed.
@@ -281,7 +287,7 @@
 	}
 	request := ident.Request(r.Header.Get(headerRequest))
 	order := string(bytes.Trim(body.Order, `"`))
-	i := s.note(Call{Request: callerID(request), Method: r.Method, Order: order})
+	i := s.note(Call{Request: callerID(request), Method: r.Method, Order: order, Key: s.keyOf(r)})
 	s.serve(w, i, request, OrderAnswer{Order: order, Request: callerID(request), Endpoint: s.cfg.Name})
 }
 
@@ -325,7 +331,8 @@
 	s.shift(-1, 0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls[i].Placed = s.calls[i].Method == http.MethodPost
+	c := &s.calls[i]
+	c.Placed = c.Method == http.MethodPost && s.cfg.Keys.first(c.Key)
 }
 
 func (s *Service) shift(running, waiting int) {
--- a/stage/bundle.go
+++ b/stage/bundle.go
@@ -64,7 +64,7 @@
 	return []bundle.Service{
 		{
 			Name: s.plan.engine, Kind: bundle.Engine, Regions: s.plan.regions,
-			Continue: true, Fence: s.cfg.Deployment == Kgosi, Model: s.plan.model,
+			Continue: true, Fence: s.fenced(), Model: s.plan.model,
 			Calls: []bundle.Call{}, // the strict parser refuses null
 		},
 		{
@@ -72,7 +72,7 @@
 			Validity: s.cfg.span(clock.Minute),
 			Calls: []bundle.Call{
 				{Method: http.MethodGet, Path: "/stock", Idempotent: true, Hedge: true},
-				{Method: http.MethodPost, Path: "/orders"},
+				{Method: http.MethodPost, Path: "/orders", Dedupe: s.cfg.Dedupe},
 			},
 		},
 	}
--- a/stage/config.go
+++ b/stage/config.go
@@ -71,6 +71,13 @@
 	Reboot clock.Span
 	// Flat makes the engines ignore priorities.
 	Flat bool
+	// Loads makes restarted engines come back without their model and load it from
+	// the weight store when they are ordered to. By default engines have their model
+	// after each start.
+	Loads *Loads
+	// Dedupe names the header in which the plain service takes the key of an order and
+	// the bundle has it sent; empty for none.
+	Dedupe string
 	// NoEntries leaves the entries out, for other programs that use the endpoints.
 	NoEntries bool
 	// Log takes the entries' log lines; the default discards them.
@@ -79,6 +86,18 @@
 	Clock clock.Clock
 }
 
+// Loads tells how engines get their models.
+type Loads struct {
+	// Empty makes engines start without their model. Without it, only restarted ones
+	// come back without.
+	Empty bool
+	// Size is how many bytes a model takes, Rate the bandwidth of the weight store in
+	// bytes a second.
+	Size, Rate ident.Bytes
+	// Ignore makes engines ignore fencing numbers although the bundle says otherwise.
+	Ignore bool
+}
+
 func (c Config) withDefaults() Config {
 	c.Deployment = or(c.Deployment, Kgosi)
 	c.Entries = or(c.Entries, 4)
--- a/stage/stage.go
+++ b/stage/stage.go
@@ -21,6 +21,8 @@
 	// Engines and Services are all endpoints. They don't change.
 	Engines  []*fakes.Engine
 	Services []*fakes.Service
+	// Store is the weight store that engines load models from.
+	Store *fakes.Store
 
 	cfg        Config
 	plan       plan
@@ -81,24 +83,53 @@
 	return nil
 }
 
+// models tells how the engines deal with models.
+func (s *Stage) models() fakes.ModelConfig {
+	m := fakes.ModelConfig{Names: []string{s.plan.model}, Preload: true, Store: s.Store, Fence: s.fenced()}
+	l := s.cfg.Loads
+	if l == nil {
+		return m
+	}
+	m.Preload, m.Size = false, l.Size
+	m.Fence = m.Fence && !l.Ignore
+	if l.Empty {
+		m.Names = []string{}
+	}
+	return m
+}
+
+func (s *Stage) storeRate() ident.Bytes {
+	if s.cfg.Loads == nil {
+		return 0
+	}
+	return s.cfg.Loads.Rate
+}
+
+// fenced tells whether the deployment's engines check fencing numbers.
+func (s *Stage) fenced() bool { return s.cfg.Deployment == Kgosi }
+
 func (s *Stage) startEndpoints() error {
+	s.Store = fakes.NewStore(fakes.StoreConfig{Rate: s.storeRate()})
 	for i := range s.plan.runners {
 		e := fakes.NewEngine(fakes.EngineConfig{
 			Name:   ident.Endpoint(fmt.Sprintf("%s-%d", s.plan.engine, i+1)),
 			Region: s.plan.regionOf(i), Slots: s.cfg.Slots,
 			Prefill: s.cfg.duration(s.cfg.Prefill), Gap: s.cfg.duration(s.cfg.Gap),
 			Lag: s.cfg.span(s.cfg.Lag), Reboot: s.cfg.Reboot, Flat: s.cfg.Flat, Clock: s.cfg.Clock,
+			Models: s.models(),
 		})
 		s.Engines = append(s.Engines, e)
 		if err := e.Start(); err != nil {
 			return err
 		}
 	}
+	keys := fakes.NewKeys()
 	for i := range s.plan.desks {
 		d := fakes.NewService(fakes.ServiceConfig{
 			Name:   ident.Endpoint(fmt.Sprintf("%s-%d", s.plan.plain, i+1)),
 			Region: s.plan.regionOf(i), Lag: s.cfg.span(s.cfg.Lag),
 			Latency: s.cfg.duration(20 * time.Millisecond), Clock: s.cfg.Clock,
+			Dedupe: s.cfg.Dedupe, Keys: keys,
 		})
 		s.Services = append(s.Services, d)
 		if err := d.Start(); err != nil {
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -4,6 +4,9 @@
 package ticket
 
 import (
+	"net/url"
+	"strconv"
+
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -37,3 +40,10 @@
 
 // Error is the error of this package.
 type Error = fault.Error[Kind]
+
+// Key returns what identifies the ticket's request to a service that tells repeated
+// calls apart. It is the same for every try, fits in a header and is no secret.
+func (t Ticket) Key() string {
+	return url.QueryEscape(string(t.Entry)) + "-" + strconv.FormatUint(uint64(t.Incarnation), 10) +
+		"-" + strconv.FormatUint(t.Sequence, 10)
+}
