--- a/proof/storm_test.go
+++ b/proof/storm_test.go
@@ -52,6 +52,7 @@
 }
 
 func runStorm(t *testing.T, seed uint64) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	base, err := newScene(ctx, "kgosi", seed, 100*time.Millisecond)
