refactor(entry): share what completions and calls do first

Cause: duplicates listed the same admission, body and registration steps in call.go and complete.go, and only one of them corrected refusals of ticketed requests. Change: receive and enter serve both; a call whose id is in progress gets a truthful refusal too.

--- a/entry/call.go
+++ b/entry/call.go
@@ -27,21 +27,12 @@
 	rest := strings.TrimPrefix(r.URL.EscapedPath(), caller.PathCall)
 	service, path, _ := strings.Cut(rest, "/")
 	h.Service, h.Method, h.Path = ident.Service(service), r.Method, "/"+path
-	if refusal == nil {
-		refusal = s.shell.admit(h)
-	}
-	var body []byte
-	if refusal == nil {
-		body, refusal = readBody(r, look(s.shell, bodyLimit))
-		refusal = s.shell.truthful(h, refusal)
-	}
-	if refusal != nil {
-		s.refuse(w, h.Request, refusal)
+	body, ok := s.receive(w, r, h, refusal)
+	if !ok {
 		return
 	}
-	f := s.shell.open(h.Request)
+	f := s.enter(w, h)
 	if f == nil {
-		s.refuse(w, h.Request, malformed("a request with this id is in progress"))
 		return
 	}
 	defer s.shell.close(f)
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -16,21 +16,17 @@
 	if h.Service == "" {
 		h.Service = s.defaultService()
 	}
-	if refusal == nil {
-		refusal = s.shell.admit(h)
-	}
-	if refusal != nil {
-		s.refuse(w, h.Request, refusal)
+	body, ok := s.receive(w, r, h, refusal)
+	if !ok {
 		return
 	}
-	p, refusal := s.readPrompt(r)
-	if refusal != nil {
-		s.refuse(w, h.Request, refusal)
+	p, err := parsePrompt(body)
+	if err != nil {
+		s.refuse(w, h.Request, malformed(err.Error()))
 		return
 	}
-	f := s.shell.open(h.Request)
+	f := s.enter(w, h)
 	if f == nil {
-		s.refuse(w, h.Request, malformed("a request with this id is in progress"))
 		return
 	}
 	defer s.shell.close(f)
@@ -41,17 +37,31 @@
 	})
 }
 
-func (s *Server) readPrompt(r *http.Request) (*prompt, *core.Refusal) {
-	limit := look(s.shell, bodyLimit)
-	body, refusal := readBody(r, limit)
+// receive admits a request and reads its body. If it may not go on, it gets its
+// refusal and receive returns false.
+func (s *Server) receive(w http.ResponseWriter, r *http.Request, h core.Head, refusal *core.Refusal) ([]byte, bool) {
+	if refusal == nil {
+		refusal = s.shell.admit(h)
+	}
+	var body []byte
+	if refusal == nil {
+		body, refusal = readBody(r, look(s.shell, bodyLimit))
+		refusal = s.shell.truthful(h, refusal)
+	}
 	if refusal != nil {
-		return nil, refusal
+		s.refuse(w, h.Request, refusal)
+		return nil, false
 	}
-	p, err := parsePrompt(body)
-	if err != nil {
-		return nil, malformed(err.Error())
+	return body, true
+}
+
+// enter registers a request. It refuses one whose id is in progress and returns nil.
+func (s *Server) enter(w http.ResponseWriter, h core.Head) *flight {
+	f := s.shell.open(h.Request)
+	if f == nil {
+		s.refuse(w, h.Request, s.shell.truthful(h, malformed("a request with this id is in progress")))
 	}
-	return p, nil
+	return f
 }
 
 // exchange is one completion in progress: its tries and what the caller has received.
