refactor(trial): use the callers' ids that records hold

Cause: the stand-ins now record the caller's id without the mark that entries append, so that trial cut it off a second time. Change: the joins by request id use the records as they are.

--- a/trial/check.go
+++ b/trial/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -86,7 +85,7 @@
 	dispatches := map[ident.Request]int{}
 	for _, r := range x.records {
 		records[r.Prompt] = append(records[r.Prompt], r)
-		dispatches[origin(r.Request)]++
+		dispatches[r.Request]++
 	}
 	for id, n := range dispatches {
 		x.checks.check(2, n <= tries, "request %s was dispatched %d times", id, n)
@@ -111,19 +110,12 @@
 	}
 }
 
-// origin returns the caller's request id that the id of a try at an endpoint begins
-// with; see package entry.
-func origin(id ident.Request) ident.Request {
-	own, _, _ := strings.Cut(string(id), "~")
-	return ident.Request(own)
-}
-
 func (x *run) checkCompletion(o *outcome, records []fakes.Record) {
 	allowed := x.plan.allowed(o.arrival)
 	for i := range records {
 		r := &records[i]
 		x.checks.check(1, slices.Contains(allowed, r.Region), "%s %s bound to %q arrived in %s", o.work, o.serial, o.home, r.Region)
-		if o.end == refused && origin(r.Request) == o.request {
+		if o.end == refused && r.Request == o.request {
 			// The refusal is about the last send only; earlier ones had ids of their own.
 			x.checks.check(5, r.Started == 0, "%s %s was refused as not run and started at %s (%s): %v", o.work, o.serial, r.Engine, r.Outcome, o.err)
 		}
--- a/trial/result.go
+++ b/trial/result.go
@@ -155,9 +155,8 @@
 		if r.First == 0 {
 			continue
 		}
-		id := origin(r.Request)
-		if t, ok := first[id]; !ok || r.First.Before(t) {
-			first[id], out[id] = r.First, r.Started
+		if t, ok := first[r.Request]; !ok || r.First.Before(t) {
+			first[r.Request], out[r.Request] = r.First, r.Started
 		}
 	}
 	return out
@@ -168,11 +167,11 @@
 	served := map[ident.Request]ident.Region{}
 	for _, r := range x.records {
 		if r.Outcome == fakes.Complete {
-			served[origin(r.Request)] = r.Region
+			served[r.Request] = r.Region
 		}
 	}
 	for _, c := range x.calls {
-		served[origin(c.Request)] = c.Region
+		served[c.Request] = c.Region
 	}
 	done, away := 0, 0
 	for _, o := range all {
