feat(cmd): let people run an entry by hand

Cause: no page showed how to run the daemon outside the demo, and the platform stand-in could only be filled by hand-made HTTP calls.

--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fakes"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/watch"
 )
 
 // standIn is a test double in a process of its own.
@@ -99,20 +102,52 @@
 func platformStandIn() *cli.Command {
 	return &cli.Command{
 		Name:  "platform",
-		Usage: "the configuration service and the list of instances; both are filled by POST /control",
+		Usage: "the configuration service and the list of instances; both are also set by POST /control",
 		Flags: []cli.Flag{
 			listenFlag(),
 			&cli.Float64Flag{Name: "rate", Value: 2000, Usage: "calls a second over all readers"},
 			&cli.DurationFlag{Name: "lag", Usage: "age of the list of instances"},
+			&cli.StringFlag{Name: "bundle", Usage: "file with a signed bundle to publish as value \"bundle\""},
+			&cli.StringFlag{Name: "instances", Usage: "file with the list of instances to publish, a JSON array"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return runStandIn(ctx, c, fakes.NewPlatform(fakes.PlatformConfig{
+			p := fakes.NewPlatform(fakes.PlatformConfig{
 				Listen: c.String("listen"), Rate: c.Float64("rate"), Lag: clock.Of(c.Duration("lag")),
-			}))
+			})
+			if err := fillPlatform(p, c.String("bundle"), c.String("instances")); err != nil {
+				return err
+			}
+			return runStandIn(ctx, c, p)
 		},
 	}
 }
 
+// fillPlatform publishes the content of files; an empty name publishes nothing.
+func fillPlatform(p *fakes.Platform, bundleFile, listFile string) error {
+	if bundleFile != "" {
+		signed, err := os.ReadFile(bundleFile)
+		if err != nil {
+			return errors.Wrap(err, "--bundle")
+		}
+		if _, err := p.Set("bundle", signed); err != nil {
+			return errors.Wrap(err, "--bundle")
+		}
+	}
+	if listFile == "" {
+		return nil
+	}
+	text, err := os.ReadFile(listFile)
+	if err != nil {
+		return errors.Wrap(err, "--instances")
+	}
+	var instances []watch.Instance
+	if err := json.Unmarshal(text, &instances); err != nil {
+		return errors.Wrap(err, "--instances")
+	}
+	p.List(instances)
+	return nil
+}
+
 func linkStandIn() *cli.Command {
 	return &cli.Command{
 		Name:  "link",
