perf(entry): bound what control costs with the fleet's size

Cause: an entry polled every endpoint, told of all services in each message, named all entries to each caller, read a long list as often as a short one, and every entry pushed on to all others what it had heard.

--- a/entry/routes.go
+++ b/entry/routes.go
@@ -80,9 +80,25 @@
 	writeJSON(w, http.StatusOK, answer)
 }
 
+// Bounds on the entries that a caller is told of: those of the first region, and those
+// of the others together. A list of 390 would take 27 KB.
+const (
+	nearPlaces = 8
+	farPlaces  = 4
+)
+
 func entriesOf(places []core.Place) []caller.Entry {
-	entries := make([]caller.Entry, 0, len(places))
+	entries := make([]caller.Entry, 0, min(len(places), nearPlaces+farPlaces))
+	near, far := 0, 0
 	for _, p := range places {
+		if p.Region == places[0].Region {
+			near++
+		} else {
+			far++
+		}
+		if p.Region == places[0].Region && near > nearPlaces || p.Region != places[0].Region && far > farPlaces {
+			continue
+		}
 		entries = append(entries, caller.Entry{Name: p.Entry, Address: p.Address, Region: p.Region})
 	}
 	return entries
--- a/entry/shell.go
+++ b/entry/shell.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -35,6 +37,8 @@
 	mu      sync.Mutex
 	core    *core.Core
 	flights map[ident.Request]*flight
+	// live is how many peers there are.
+	live int
 }
 
 func newShell(c clock.Clock, f *bundle.Force, k *core.Core) *shell {
@@ -61,7 +65,31 @@
 func (s *shell) apply(e core.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hand(s.core.Apply(s.clock.Now(), e))
+	actions := s.core.Apply(s.clock.Now(), e)
+	switch e := e.(type) {
+	case core.Peers:
+		s.live = len(e.Live)
+	case core.Heard:
+		if !relays(s.live) {
+			actions = slices.DeleteFunc(actions, func(a core.Action) bool { return a == core.Push{} })
+		}
+	}
+	s.hand(actions)
+}
+
+// relayers is how many entries push on what a peer has pushed to all, in the mean. They
+// reach those that the first one can't. If all did so, each news would take a message
+// for each pair of entries.
+const relayers = 8
+
+// relays decides whether this entry pushes on what it has heard; with few peers it does.
+func relays(live int) bool { return live <= relayers || rand.IntN(live) < relayers }
+
+// relays decides whether this entry pushes a bundle on that it got from a peer.
+func (s *shell) relays() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return relays(s.live)
 }
 
 // hand passes actions on; the lock is held, so that the actions of one request keep their order.
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -36,6 +36,9 @@
 	reportBytes = 64 << 10
 	// listPeriod is the time between two reads of the list, which lags anyway.
 	listPeriod = 5 * clock.Second
+	// listRow is the least time between two reads for each instance on the list; it
+	// bounds what they take to 1.7 KB/s.
+	listRow = 90 * clock.Millisecond
 	// peerBundleLimit is how long a new entry waits for its peers' bundle; a megabyte
 	// takes 0.1 s on the thinnest link.
 	peerBundleLimit = 2 * clock.Second
@@ -66,7 +69,11 @@
 		Watching: s.watching,
 	})
 	s.awaitPeers(ctx)
-	_ = values.Run(ctx, s.offer)
+	_ = values.Run(ctx, func(encoded []byte) {
+		if s.offer(encoded) {
+			s.node.Push()
+		}
+	})
 }
 
 // awaitPeers waits until the peers had time to hand over the bundle that they have
@@ -115,19 +122,20 @@
 	return false
 }
 
-// offer takes in a signed bundle from the platform or a peer.
-func (s *Server) offer(encoded []byte) {
+// offer takes in a signed bundle from the platform or a peer and tells whether it
+// came into force.
+func (s *Server) offer(encoded []byte) bool {
 	change, err := s.shell.force.Offer(encoded)
 	if err != nil {
 		s.offerFailed(err)
-		return
+		return false
 	}
 	if change.New == change.Old {
-		return
+		return false
 	}
 	s.log.Info("bundle in force", zap.Uint64("version", uint64(change.New)), zap.Uint64("old", uint64(change.Old)))
 	s.shell.apply(core.Bundled{})
-	s.node.Push()
+	return true
 }
 
 func (s *Server) offerFailed(err error) {
@@ -140,21 +148,40 @@
 }
 
 func (s *Server) watchList(ctx context.Context) {
+	for period := listPeriod; ctx.Err() == nil; {
+		period = s.readList(ctx, period)
+	}
+}
+
+// readList reads the list until its size asks for another period, which it returns.
+func (s *Server) readList(ctx context.Context, period clock.Span) clock.Span {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	next := period
 	list := watch.NewList(watch.ListConfig{
-		URL: s.settings.Platform.List, View: s.settings.Region, Seed: randomNumber(), Period: listPeriod,
+		URL: s.settings.Platform.List, View: s.settings.Region, Seed: randomNumber(), Period: period,
 	})
 	_ = list.Run(ctx, func(instances []watch.Instance) {
 		s.node.Sync(instances)
 		s.shell.apply(core.Listed{Instances: instances})
+		if wanted := listSpan(len(instances)); wanted > 2*period || 2*wanted < period {
+			next = wanted
+			cancel()
+		}
 	})
+	return next
 }
 
-// pollEndpoints asks every endpoint for its load report.
+// listSpan returns the period for a list of n instances, each of which has 150 bytes.
+func listSpan(n int) clock.Span { return max(listPeriod, clock.Span(n)*listRow) }
+
+// pollEndpoints asks the endpoints for their load reports.
 func (s *Server) pollEndpoints(ctx context.Context) {
 	ticker := time.NewTicker(pollPeriod.Duration())
 	defer ticker.Stop()
+	plan := newPollPlan(s.settings.Name, s.settings.Region)
 	for round := 0; ; round++ {
-		s.pollRound(ctx, round%remotePolls == 0)
+		s.pollRound(ctx, plan.next(round, look(s.shell, pollTargets)))
 		select {
 		case <-ctx.Done():
 			return
@@ -163,19 +190,20 @@
 	}
 }
 
-func (s *Server) pollRound(ctx context.Context, remote bool) {
+func (s *Server) pollRound(ctx context.Context, turns []*pollTurn) {
 	ctx, cancel := context.WithTimeout(ctx, pollPeriod.Duration())
 	defer cancel()
 	slots := make(chan struct{}, pollers)
 	var polls sync.WaitGroup
-	for _, e := range look(s.shell, pollTargets) {
-		if e.Region != s.settings.Region && !remote {
-			continue
-		}
+	for _, t := range turns {
 		slots <- struct{}{}
 		polls.Go(func() {
 			defer func() { <-slots }()
-			s.poll(ctx, e)
+			if s.poll(ctx, t.target) {
+				t.failed = 0
+			} else {
+				t.failed++
+			}
 		})
 	}
 	polls.Wait()
@@ -183,16 +211,18 @@
 
 func pollTargets(c *core.Core, _ clock.Time) []fleet.Target { return c.PollTargets() }
 
-func (s *Server) poll(ctx context.Context, e fleet.Target) {
+// poll reads one report and tells whether it came.
+func (s *Server) poll(ctx context.Context, e fleet.Target) bool {
 	report, err := s.loadOf(ctx, e.Address)
 	if err != nil {
 		if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
-			return
+			return false
 		}
 		s.shell.apply(core.Missed{Endpoint: e.Endpoint, Refused: errors.Is(err, syscall.ECONNREFUSED)})
-		return
+		return false
 	}
 	s.shell.apply(core.Reported{Endpoint: e.Endpoint, Report: report})
+	return true
 }
 
 // load is an endpoint's report as it stands on the wire.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,6 +70,8 @@
 	Address  string
 	Service  ident.Service
 	Region   ident.Region
+	// Used says that this entry has attempts in flight at the service in the region.
+	Used bool
 }
 
 // want is the model that the endpoints of a service need.
@@ -250,8 +252,11 @@
 func (f *Fleet) Targets() []Target {
 	var found []Target
 	for _, g := range f.groups {
+		used := slices.ContainsFunc(g.endpoints, func(e *endpoint) bool { return len(e.attempts) > 0 })
 		for _, e := range g.endpoints {
-			found = append(found, Target{Endpoint: e.name, Address: e.address, Service: e.service, Region: e.region})
+			found = append(found, Target{
+				Endpoint: e.name, Address: e.address, Service: e.service, Region: e.region, Used: used,
+			})
 		}
 	}
 	return found
