--- /dev/null
+++ b/bundle/bench_test.go
@@ -0,0 +1,65 @@
+package bundle_test
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// sized returns a document with the given number of services in 4 regions.
+func sized(b *testing.B, services int, version ident.Version) []byte {
+	b.Helper()
+	var d bundle.Document
+	require.NoError(b, json.Unmarshal(body(version, "bench"), &d))
+	d.Regions = []ident.Region{"region-a", "region-b", "region-c", "region-d"}
+	d.Homes, d.Links, d.Services = []bundle.Home{}, []bundle.Link{}, nil
+	for _, r := range d.Regions {
+		d.Homes = append(d.Homes, bundle.Home{Name: ident.Home(r), Regions: []ident.Region{r}})
+		for _, to := range d.Regions {
+			if to != r {
+				d.Links = append(d.Links, bundle.Link{From: r, To: to, Budget: 6_000_000})
+			}
+		}
+	}
+	for i := range services {
+		d.Services = append(d.Services, bundle.Service{
+			Name: ident.Service(fmt.Sprintf("assistant-%d", i)), Kind: bundle.Engine, Regions: d.Regions,
+			Continue: true, Fence: true, Model: fmt.Sprintf("model-%d", i), Calls: []bundle.Call{},
+		})
+	}
+	encoded, err := json.Marshal(d)
+	require.NoError(b, err)
+	return encoded
+}
+
+// BenchmarkOffer verifies, parses and puts in force bundles up to nearly 1 MB, the
+// limit of the configuration service.
+func BenchmarkOffer(b *testing.B) {
+	for _, services := range []int{2, 26, 400, 4000} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			public, private := newKey(b, "k1")
+			s, err := bundle.Sign(private, sized(b, services, 1))
+			require.NoError(b, err)
+			encoded := s.Encode()
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := bundle.NewForce([]bundle.PublicKey{public}).Offer(encoded); err != nil {
+					b.Fatal(err)
+				}
+			}
+			var packed bytes.Buffer
+			w := gzip.NewWriter(&packed)
+			_, _ = w.Write(encoded)
+			_ = w.Close()
+			b.ReportMetric(float64(len(encoded)), "encoded-B")
+			b.ReportMetric(float64(packed.Len()), "gzip-B")
+		})
+	}
+}
