fix(assign): keep the delay and the bound when reports stop or entries change

Cause: reading the planner showed six faults. A report after a silence, or the return of a region to another entry, left an old delay in force, so that an order went out before other entries had seen the engine. Silence also forgot the back-off of an engine that ends during each load. An engine whose only responsible entry is alive but can't reach it never got its model. Confirm compared with the version of the last plan, not the one in force. An order that could not be delivered kept a place among the loads for 15 s. Change: delays begin anew after silence and after another entry's turn, failures outlast silence, each turn that passes makes the next entry responsible, Confirm takes the version in force, and an endpoint that was not reached counts as later.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -96,6 +96,7 @@
 func (p *Planner) planRegion(now clock.Time, v View, region ident.Region) []Order {
 	orderers := orderers(v.Live, region)
 	if !slices.Contains(orderers, p.config.Entry) {
+		p.stand(v, region)
 		return nil
 	}
 	loads, lacking := p.survey(now, v, region)
@@ -106,7 +107,7 @@
 			continue
 		}
 		l.engine.takeTurn(now)
-		if now.Before(l.engine.due) || !p.responsible(l.runner, orderers) {
+		if now.Before(l.engine.due) || !p.responsible(l, orderers) {
 			continue
 		}
 		orders = append(orders, p.order(now, l))
@@ -114,6 +115,16 @@
 	return orders
 }
 
+// stand forgets the delays of a region's engines while other entries order for them,
+// so that they begin anew when it falls to this one again.
+func (p *Planner) stand(v View, region ident.Region) {
+	for _, r := range v.Runners {
+		if e := p.engines[r.Endpoint]; e != nil && r.Region == region {
+			e.rest()
+		}
+	}
+}
+
 // lack is an engine without its model.
 type lack struct {
 	runner  Runner
@@ -135,8 +146,10 @@
 		case e.loads(now):
 			loads++
 			e.starts(now)
-		case !wanted || !e.lacks(now, s.Model):
+		case !wanted || slices.Contains(e.Models, s.Model):
 			e.rest()
+		case !e.lacks(now, s.Model):
+			e.silence()
 		default:
 			e.await(now, p.delay(region))
 			lacking = append(lacking, lack{runner: r, service: s, engine: e})
@@ -174,10 +187,13 @@
 	return others
 }
 
-// responsible tells whether this entry orders for an engine. Entries that disagree
-// on who is alive may both order, which only repeats an idempotent order.
-func (p *Planner) responsible(r Runner, orderers []ident.Entry) bool {
-	return watch.Watchers(string(r.Endpoint), orderers, 1)[0] == p.config.Entry
+// responsible tells whether this entry orders for an engine. With each turn that the
+// engine lets pass, the next entry becomes responsible: the one before may be alive
+// and yet unable to reach the engine. Entries that disagree may both order, which
+// only repeats an idempotent order.
+func (p *Planner) responsible(l lack, orderers []ident.Entry) bool {
+	ranked := watch.Watchers(string(l.runner.Endpoint), orderers, len(orderers))
+	return ranked[l.engine.passed%len(ranked)] == p.config.Entry
 }
 
 func (p *Planner) order(now clock.Time, l lack) Order {
@@ -191,11 +207,12 @@
 	return o
 }
 
-// Confirm tells whether an order may still be sent. The shell asks just before, since
-// the process may have been stopped after the decision.
-func (p *Planner) Confirm(now clock.Time, n Number) bool {
+// Confirm tells whether an order may still be sent while a bundle version is in force.
+// The shell asks just before, since the process may have been stopped after the
+// decision.
+func (p *Planner) Confirm(now clock.Time, n Number, inForce ident.Version) bool {
 	w := p.pending[n]
-	return w != nil && now.Sub(w.made) < valid && w.order.Fence == p.version && p.version > p.refused
+	return w != nil && now.Sub(w.made) < valid && w.order.Fence == inForce && inForce > p.refused
 }
 
 // Done takes in what became of an order.
--- a/assign/doc.go
+++ b/assign/doc.go
@@ -79,7 +79,7 @@
 	Present Result = "present"
 	// Stale says that the engine has seen a higher fencing number.
 	Stale Result = "stale"
-	// Later says that the engine takes no order at present.
+	// Later says that the engine takes no order at present or was not reached.
 	Later Result = "later"
 	// Failed says that no usable answer came; the engine may have got the order.
 	Failed Result = "failed"
--- a/assign/engine.go
+++ b/assign/engine.go
@@ -27,6 +27,7 @@
 }
 
 func (e *engine) report(now clock.Time, r Report, upTo func(clock.Span) clock.Span) {
+	silent := now.Sub(e.heard) >= fresh
 	e.Report = r
 	e.heard = now
 	switch {
@@ -40,6 +41,10 @@
 		e.asked, e.begun = "", 0
 		e.postpone(now, upTo)
 	}
+	if silent {
+		// The engine or this process was stopped; what others do is not known yet.
+		e.silence()
+	}
 }
 
 // expect notes that the next reports should show a load.
@@ -71,19 +76,27 @@
 	return e.Lists && now.Sub(e.heard) < fresh && !slices.Contains(e.Models, model)
 }
 
-// await starts the delay of an engine that is first seen without its model.
+// await starts the delay of an engine that is first seen without its model. After
+// orders that came to nothing it is longer: a load may be what ends the engine.
 func (e *engine) await(now clock.Time, delay clock.Span) {
 	if e.due == 0 {
-		e.due = now.Add(delay)
+		e.due = now.Add(delay + e.backoff() - backoff)
 	}
 }
 
-// rest forgets the delays of an engine that needs no order or can't be asked.
+// rest forgets the delays of an engine that needs no order of this entry.
 func (e *engine) rest() {
-	e.due, e.turned = 0, 0
+	e.silence()
 	e.passed, e.failures = 0, 0
 }
 
+// silence starts the delays of an engine that can't be asked anew. What its orders
+// came to is kept.
+func (e *engine) silence() { e.due, e.turned = 0, 0 }
+
+// backoff returns the delay after the orders that came to nothing so far.
+func (e *engine) backoff() clock.Span { return min(longest, backoff<<e.failures) }
+
 // takeTurn notes that the engine is one of those that may load next. If it does not
 // begin for long, its turn passes.
 func (e *engine) takeTurn(now clock.Time) {
@@ -98,7 +111,7 @@
 
 // postpone delays the next order after one that came to nothing.
 func (e *engine) postpone(now clock.Time, upTo func(clock.Span) clock.Span) {
-	delay := min(longest, backoff<<e.failures)
+	delay := e.backoff()
 	if delay < longest {
 		e.failures++
 	}
--- a/core/order.go
+++ b/core/order.go
@@ -33,7 +33,7 @@
 
 // ConfirmOrder tells whether a model order may still be sent.
 func (c *Core) ConfirmOrder(now clock.Time, n assign.Number) bool {
-	return c.mayOrder(now) && c.planner.Confirm(now, n)
+	return c.mayOrder(now) && c.planner.Confirm(now, n, c.force.Current().Version)
 }
 
 func (c *Core) planView() assign.View {
--- a/entry/order.go
+++ b/entry/order.go
@@ -11,6 +11,7 @@
 	"github.com/tanagerbridge/tanagerbridge/assign"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/core"
+	"github.com/tanagerbridge/tanagerbridge/fleet"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 )
 
@@ -55,12 +56,21 @@
 	}
 	resp, err := s.client.send(req, true)
 	if err != nil {
-		return assign.Failed
+		return orderFailure(err)
 	}
 	_ = resp.Body.Close()
 	return orderResult(resp.StatusCode)
 }
 
+// orderFailure tells an order that can't have arrived, which needs no place among the
+// loads, from one that may have.
+func orderFailure(err error) assign.Result {
+	if outcome, _ := verdictOf(err); outcome == fleet.Unreachable {
+		return assign.Later
+	}
+	return assign.Failed
+}
+
 func orderResult(status int) assign.Result {
 	switch status {
 	case http.StatusAccepted:
