perf(core): look entries' addresses up by name

Cause: an answer of locate searched the list for each member, 0.75 ms with 390 entries. Change: addresses are kept by name.

--- a/core/core.go
+++ b/core/core.go
@@ -70,8 +70,9 @@
 
 	requests requestTable
 	members  []member.Member
-	entries  []watch.Instance
-	ready    bool
+	// addresses holds where callers reach each listed entry.
+	addresses map[ident.Entry]string
+	ready     bool
 	// knowsEndpoints says that a list with endpoints was read since the start.
 	knowsEndpoints bool
 	lastTick       clock.Time
@@ -99,6 +100,7 @@
 		fleet:       fleet.New(fleet.Config{Region: cfg.Region, Seed: cfg.Seed}),
 		suspects:    crash.New(crash.Config{Term: suspectTerm}),
 		requests:    newRequestTable(),
+		addresses:   make(map[ident.Entry]string),
 	}
 	c.ledger = ledger.New(ledger.Config{
 		Entry: cfg.Entry, Incarnation: cfg.Incarnation, Margin: ledgerMargin,
@@ -179,10 +181,10 @@
 
 func (c *Core) listed(now clock.Time, instances []watch.Instance) {
 	c.fleet.Sync(now, instances)
-	c.entries = c.entries[:0]
+	clear(c.addresses)
 	for _, i := range instances {
 		if i.Role == watch.RoleEntry {
-			c.entries = append(c.entries, i)
+			c.addresses[ident.Entry(i.Name)] = i.Address
 		} else {
 			c.knowsEndpoints = true
 		}
--- a/core/locate.go
+++ b/core/locate.go
@@ -111,10 +111,10 @@
 func (c *Core) places(members []member.Member) []Place {
 	var places []Place
 	for _, m := range members {
-		i, listed := c.addressOf(m.Entry)
+		address, listed := c.addresses[m.Entry]
 		switch {
 		case listed:
-			places = append(places, Place{Entry: m.Entry, Address: i.Address, Region: m.Region})
+			places = append(places, Place{Entry: m.Entry, Address: address, Region: m.Region})
 		case m.Entry == c.entry:
 			places = append(places, Place{Entry: c.entry, Address: c.address, Region: c.region})
 		}
--- a/core/once.go
+++ b/core/once.go
@@ -9,7 +9,6 @@
 	"github.com/tanagerbridge/tanagerbridge/ledger"
 	"github.com/tanagerbridge/tanagerbridge/member"
 	"github.com/tanagerbridge/tanagerbridge/ticket"
-	"github.com/tanagerbridge/tanagerbridge/watch"
 )
 
 // claim asks the ledger whether a non-idempotent request may run here. If it may
@@ -161,12 +160,3 @@
 	}
 	return nil
 }
-
-func (c *Core) addressOf(id ident.Entry) (watch.Instance, bool) {
-	for _, i := range c.entries {
-		if i.Name == string(id) {
-			return i, true
-		}
-	}
-	return watch.Instance{}, false
-}
