test(core): cover orders that are repeated with a key

Cause: the repetition of broken orders by key had no test. Change: the property over three cores gets late effects of broken tries and a check that nothing is sent again without a key, and a second one runs the same steps with a key in the bundle. No fault was found in core/repeat.go.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -30,10 +30,12 @@
  "links": []}`
 
 // signed returns the document above, signed, and the key that verifies it.
-func signed(t require.TestingT) ([]byte, []bundle.PublicKey) {
+func signed(t require.TestingT) ([]byte, []bundle.PublicKey) { return signedText(t, document) }
+
+func signedText(t require.TestingT, text string) ([]byte, []bundle.PublicKey) {
 	public, private, err := bundle.GenerateKey("k1")
 	require.NoError(t, err)
-	s, err := bundle.Sign(private, []byte(document))
+	s, err := bundle.Sign(private, []byte(text))
 	require.NoError(t, err)
 	return s.Encode(), []bundle.PublicKey{public}
 }
@@ -45,8 +47,9 @@
 	name ident.Entry
 }
 
-func newBench(t require.TestingT, name ident.Entry, region ident.Region, incarnation ident.Incarnation, now clock.Time) *bench {
-	encoded, keys := signed(t)
+// newBench returns a core with the document above, or another one, in force.
+func newBench(t require.TestingT, name ident.Entry, region ident.Region, incarnation ident.Incarnation, now clock.Time, other ...string) *bench {
+	encoded, keys := signedText(t, append(other, document)[0])
 	force := bundle.NewForce(keys)
 	_, err := force.Offer(encoded)
 	require.NoError(t, err)
--- a/core/property_test.go
+++ b/core/property_test.go
@@ -29,6 +29,15 @@
 	placed  map[ticket.Ticket]int
 	refused map[ticket.Ticket]bool
 	sent    map[ident.Request]ticket.Ticket
+	// text is the document in force. If its service takes keys, seen holds those that
+	// it has placed.
+	text string
+	seen map[string]bool
+	// late are runs that take effect after their try broke off.
+	late []run
+	// broke counts the broken tries of each request, repeats the dispatches after one.
+	broke   map[ident.Request]int
+	repeats int
 }
 
 type run struct {
@@ -48,8 +57,9 @@
 	bench       *bench
 }
 
-func newWorld(t *rapid.T) *world {
+func newWorld(t *rapid.T, text string) *world {
 	w := &world{
+		text: text, seen: make(map[string]bool), broke: make(map[ident.Request]int),
 		t: t, placed: make(map[ticket.Ticket]int), refused: make(map[ticket.Ticket]bool),
 		sent: make(map[ident.Request]ticket.Ticket),
 	}
@@ -64,7 +74,7 @@
 func (w *world) restart(i int) {
 	w.lives++
 	region := ident.Region(fmt.Sprintf("r%d", 1+i%2))
-	w.entries[i] = newBench(w.t, ident.Entry(fmt.Sprintf("e%d", i)), region, w.lives, clock.Time(1000*i+1000))
+	w.entries[i] = newBench(w.t, ident.Entry(fmt.Sprintf("e%d", i)), region, w.lives, clock.Time(1000*i+1000), w.text)
 }
 
 func (w *world) any() int { return rapid.IntRange(0, len(w.entries)-1).Draw(w.t, "entry") }
@@ -99,6 +109,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case core.Dispatch:
+			w.repeated(a)
 			w.runs = append(w.runs, run{owner: b, dispatch: a, ticket: w.sent[a.Request]})
 		case core.Ask:
 			w.asks = append(w.asks, ask{asker: b, Ask: a})
@@ -141,15 +152,51 @@
 	if !r.owner.Confirm(r.owner.now, r.dispatch.Request, r.dispatch.Try) {
 		outcome = fleet.Refused
 	}
-	runs := outcome == fleet.Complete || outcome == fleet.Broken && rapid.Bool().Draw(w.t, "ran")
-	if runs {
-		w.placed[r.ticket]++
-		w.check(r.ticket)
+	switch outcome {
+	case fleet.Complete:
+		w.place(r)
+	case fleet.Broken:
+		w.broke[r.dispatch.Request]++
+		w.late = append(w.late, r)
+		if rapid.Bool().Draw(w.t, "ran") {
+			w.land()
+		}
 	}
 	ended := core.Ended{Request: r.dispatch.Request, Try: r.dispatch.Try, Outcome: outcome}
 	w.perform(r.owner, r.owner.Apply(r.owner.now, ended))
 }
 
+// place lets an endpoint place an order, unless it has placed one with this key.
+func (w *world) place(r run) {
+	if key := r.dispatch.Key; r.dispatch.Dedupe == "" || !w.seen[key] {
+		w.seen[key] = true
+		w.placed[r.ticket]++
+	}
+	w.check(r.ticket)
+}
+
+// land lets a run take effect whose try broke off.
+func (w *world) land() {
+	if len(w.late) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.late)-1).Draw(w.t, "late")
+	r := w.late[i]
+	w.late = append(w.late[:i], w.late[i+1:]...)
+	w.place(r)
+}
+
+// repeated checks that a broken order is sent again only with a key.
+func (w *world) repeated(d core.Dispatch) {
+	if w.broke[d.Request] == 0 {
+		return
+	}
+	w.repeats++
+	if d.Dedupe == "" || d.Key == "" {
+		w.t.Fatalf("request %s was sent again without a key", d.Request)
+	}
+}
+
 // reply answers a question about a ticket, or loses it.
 func (w *world) reply() {
 	if len(w.asks) == 0 {
@@ -200,14 +247,39 @@
 	}
 }
 
+// explore drives a world with the document through any steps and returns how often
+// a broken order was sent again.
+func explore(t *rapid.T, text string) int {
+	w := newWorld(t, text)
+	steps := []func(){
+		w.issue, w.send, w.send, w.send, w.finish, w.finish, w.finish, w.finish, w.reply, w.reply, w.pass, w.leave,
+		func() { w.restart(w.any()) }, w.land,
+	}
+	for range rapid.IntRange(5, 80).Draw(t, "length") {
+		steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")]()
+	}
+	return w.repeats
+}
+
 // Guards against an order that is placed twice, or told "not run" and placed, for
-// any interleaving of sends, re-sends, crashes, pauses, handovers and lost answers.
+// any interleaving of sends, re-sends, crashes, pauses, handovers, lost answers and
+// late effects, and against a broken order that is sent again although the service
+// has no key to tell copies apart.
 func TestOrdersAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
-		steps := []func(){w.issue, w.send, w.send, w.send, w.finish, w.finish, w.reply, w.reply, w.pass, w.leave, func() { w.restart(w.any()) }}
-		for range rapid.IntRange(5, 60).Draw(t, "length") {
-			steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")]()
+		if n := explore(t, document); n > 0 {
+			t.Fatalf("%d orders were sent again", n)
 		}
 	})
 }
+
+// Guards against the same where the service tells copies apart by a key and broken
+// orders are sent again: a key that differs between tries, or is shared by two
+// orders, and "not run" after a try that broke off.
+func TestRepeatedOrdersArePlacedOnce(t *testing.T) {
+	repeats := 0
+	rapid.Check(t, func(t *rapid.T) { repeats += explore(t, keyed) })
+	if repeats < 20 {
+		t.Fatalf("only %d orders were sent again in all runs", repeats)
+	}
+}
