refactor(stage): ask entries for their status in one place

Cause: duplicates listed the same status request in demo and trial. Change: Entry.Status serves both.

--- a/demo/script.go
+++ b/demo/script.go
@@ -194,7 +194,7 @@
 	if err := w.load(ctx, e.Region); err != nil {
 		return err
 	}
-	before, err := statusOf(ctx, e)
+	before, err := e.Status(ctx)
 	if err != nil {
 		return err
 	}
--- a/demo/watcher.go
+++ b/demo/watcher.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/stage"
-	"github.com/tanagerbridge/tanagerbridge/status"
 )
 
 const (
 	// watchGap is the pause between two looks at the entries' versions.
 	watchGap = 100 * time.Millisecond
-	// statusLimit bounds one look at one entry.
-	statusLimit = time.Second
 )
 
 // watcher follows the bundle versions of all entries.
@@ -37,7 +32,7 @@
 func (w *watcher) run(ctx context.Context) {
 	for {
 		for _, e := range w.stage.Entries() {
-			if st, err := statusOf(ctx, e); err == nil {
+			if st, err := e.Status(ctx); err == nil {
 				w.note(e.Name, st.Version)
 			}
 		}
@@ -83,28 +78,10 @@
 		if e.Region == except {
 			continue
 		}
-		st, err := statusOf(ctx, e)
+		st, err := e.Status(ctx)
 		if err != nil || st.Version < v {
 			return false
 		}
 	}
 	return true
 }
-
-// statusOf asks an entry for its status.
-func statusOf(ctx context.Context, e *stage.Entry) (status.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusLimit)
-	defer cancel()
-	var st status.Status
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Admin()+status.PathStatus, http.NoBody)
-	if err != nil {
-		return st, err
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return st, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	err = json.NewDecoder(resp.Body).Decode(&st)
-	return st, err
-}
--- a/trial/run.go
+++ b/trial/run.go
@@ -97,7 +97,7 @@
 	want := len(x.stage.Engines) + len(x.stage.Services)
 	for _, e := range x.stage.Entries() {
 		for {
-			st, err := statusOf(ctx, e)
+			st, err := e.Status(ctx)
 			if err == nil && len(st.Endpoints) == want && len(st.Members) >= entries-1 {
 				break
 			}
@@ -188,7 +188,7 @@
 func (x *run) read(ctx context.Context) reading {
 	r := reading{links: Links{}}
 	for _, e := range x.stage.Entries() {
-		st, err := statusOf(ctx, e)
+		st, err := e.Status(ctx)
 		if err != nil {
 			continue // the entry is behind in answering; its counters then count from 0
 		}
--- a/trial/version.go
+++ b/trial/version.go
@@ -2,20 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/tanagerbridge/tanagerbridge/ident"
-	"github.com/tanagerbridge/tanagerbridge/stage"
-	"github.com/tanagerbridge/tanagerbridge/status"
 )
 
 const (
 	// watchGap is the pause between two looks at the entries' versions.
 	watchGap = 250 * time.Millisecond
-	// statusLimit bounds one look at one entry.
-	statusLimit = 2 * time.Second
 	// versionLimit is how soon a published version has to be in force everywhere,
 	// from the end of a cut on.
 	versionLimit = 12 * time.Second
@@ -30,7 +24,7 @@
 		defer close(done)
 		for pause(ctx, watchGap) == nil {
 			for _, e := range x.stage.Entries() {
-				st, err := statusOf(ctx, e)
+				st, err := e.Status(ctx)
 				if err != nil {
 					continue
 				}
@@ -70,28 +64,10 @@
 // behind returns an entry without the version, or "".
 func (x *run) behind(ctx context.Context, v ident.Version) ident.Entry {
 	for _, e := range x.stage.Entries() {
-		st, err := statusOf(ctx, e)
+		st, err := e.Status(ctx)
 		if err != nil || st.Version < v {
 			return e.Name
 		}
 	}
 	return ""
 }
-
-// statusOf asks an entry for its status.
-func statusOf(ctx context.Context, e *stage.Entry) (status.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusLimit)
-	defer cancel()
-	var st status.Status
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Admin()+status.PathStatus, http.NoBody)
-	if err != nil {
-		return st, err
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return st, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	err = json.NewDecoder(resp.Body).Decode(&st)
-	return st, err
-}
