perf(route): take no first token as slow that a queue or cold prompt explains

Requests that wait in an engine's queue or bring a prompt that is not cached have late first tokens. Change: such samples, and the age of such attempts, don't count as slow; an early first token still counts.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -44,6 +44,9 @@
 	Attempt
 	endpoint *endpoint
 	began    clock.Time
+	// excused says that a queue or a prompt that is not cached explains a late first
+	// token.
+	excused bool
 	// first is when the first token came; 0 if it has not.
 	first clock.Time
 	// moved and tokens are the time and count of the last progress known.
@@ -81,6 +84,7 @@
 
 // begin adds r to the endpoint's attempts. jitter, from 0 to 1, spreads probes.
 func (e *endpoint) begin(now clock.Time, r *attempt, jitter float64) {
+	r.excused = e.estimate()+1 > float64(e.slots) || r.Prefix != 0 && !e.prefixes[r.Prefix]
 	e.attempts = append(e.attempts, r)
 	if r.Long {
 		e.long++
--- /dev/null
+++ b/fleet/excused_test.go
@@ -0,0 +1,47 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fleet"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// Guards against an endpoint that is taken to be slow because requests wait in its
+// queue or bring a prompt that it has not cached, and against a slow one that is
+// overlooked although neither explains its late tokens.
+func TestExplainedDelays(t *testing.T) {
+	tests := map[string]struct {
+		queued int
+		prefix ident.Prefix
+		slow   bool
+	}{
+		"unexplained":   {slow: true},
+		"cached prompt": {prefix: 7, slow: true},
+		"cold prompt":   {prefix: 8},
+		"queue":         {queued: 8},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(3)
+			now := run(f, 1000, 5, func(int) clock.Span { return 100 }, 3)
+			f.Candidates(now, service, region) // compares the endpoints for the first time
+			report := ready
+			report.Prefixes = []ident.Prefix{7}
+			report.Running = tt.queued
+			f.Report(now, "e1", report)
+			for i := range 5 {
+				request := ident.Request(fmt.Sprint("late", i))
+				f.Begin(now, fleet.Attempt{Request: request, Try: 1, Endpoint: "e1", Service: service, Size: 1000, Prefix: tt.prefix})
+				f.First(now.Add(500), request, 1)
+				f.End(now.Add(1000), request, 1, fleet.Complete, 50)
+				now = now.Add(1000)
+			}
+			require.Equal(t, tt.slow, f.Candidates(now, service, region)[1].Weight < 0.5)
+		})
+	}
+}
--- a/fleet/slow.go
+++ b/fleet/slow.go
@@ -163,6 +163,9 @@
 func (s *slowness) opened(r *attempt, took clock.Span) {
 	g := &s.first[r.kind()]
 	x := float64(took) / r.scale()
+	if r.excused && g.known && g.compare(x) > overdue {
+		return
+	}
 	s.sample(g, x)
 	s.hurry(g, x)
 }
@@ -205,7 +208,7 @@
 // given takes in an attempt that was given up: if it waited longer than usual for
 // its first token, the wait is a sample that is too low, but better than none.
 func (s *slowness) given(r *attempt, now clock.Time) {
-	if r.first != 0 {
+	if r.first != 0 || r.excused {
 		return
 	}
 	g := &s.first[r.kind()]
@@ -240,7 +243,7 @@
 	count := e.slow.lags
 	for _, r := range e.attempts {
 		g := &e.slow.first[r.kind()]
-		if r.first != 0 || !g.known {
+		if r.first != 0 || r.excused || !g.known {
 			continue
 		}
 		age := g.compare(float64(now.Sub(r.began)) / r.scale())
