perf(route): judge the mix of other regions' work by the entry's own region

Cause: work of others is taken to be divided like the entry's own attempts in the region. In other regions these are mostly long work sent away, so that all work there counted as long, the class's share seemed used up, and no more was sent although the summary told of free slots. Change: for other regions the division in the entry's own region is taken.

--- a/fleet/group.go
+++ b/fleet/group.go
@@ -134,17 +134,29 @@
 		f.compare(now, g)
 	}
 	if g.changed || g.built != now {
-		g.build(now)
+		g.build(now, f.mix(g))
 	}
 	return g.candidates
 }
 
-// build makes the list of candidates anew.
-func (g *group) build(now clock.Time) {
+// mix returns the part of others' work in g that is taken to be long: that of this
+// entry's own attempts in its own region. What it sends to other regions is mostly
+// long and says nothing about the work there.
+func (f *Fleet) mix(g *group) float64 {
+	if g.region != f.config.Region {
+		if own := f.find(g.service, f.config.Region); own != nil {
+			return own.share()
+		}
+	}
+	return g.share()
+}
+
+// build makes the list of candidates anew; share is the part of others' work that is
+// taken to be long.
+func (g *group) build(now clock.Time, share float64) {
 	g.built = now
 	g.changed = false
 	floor := g.floor(now)
-	share := g.share()
 	short := g.short()
 	g.candidates = g.candidates[:0]
 	for _, e := range g.endpoints {
