perf(route): leave the slots that urgent work needs lately to it

Cause: long work holds up to 75 in 100 of the slots for seconds, and at a daily peak short work alone needs more than the rest. Change: long work of the entry's region may hold what is left after the mean demand of urgent work and half the root of it, at most its share and at least a quarter of the slots. The mean follows a rise within 250 ms, since slots given to long work come back late, and a fall within 2 s.

--- /dev/null
+++ b/route/room.go
@@ -0,0 +1,110 @@
+package route
+
+import (
+	"math"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fleet"
+)
+
+const (
+	// rise and fall are the time constants of the mean demand of urgent work. Slots
+	// given to long work come back only after seconds, so that a rise has to be followed
+	// at once, and a fall can wait.
+	rise = clock.Second / 4
+	fall = 2 * clock.Second
+	// spread is how many times the root of the mean demand of urgent work is kept free
+	// beyond that mean. The number of requests in progress varies about by its root.
+	spread = 0.5
+	// assured is the share of a region's slots that long work may hold whatever the
+	// demand of urgent work is.
+	assured = 0.25
+)
+
+// room is the part of a region's slots that an ask may use.
+type room struct {
+	share float64
+	// slots and long are the sums over the region's candidates.
+	slots float64
+	long  float64
+	// load is the sum of loads.
+	load float64
+	// kept is how many of the slots the class leaves to urgent work beyond its share.
+	kept float64
+}
+
+// measure sums up a region's candidates.
+func measure(found []fleet.Candidate, share float64) room {
+	m := room{share: share}
+	for i := range found {
+		m.slots += float64(found[i].Slots)
+		m.long += found[i].Long
+		m.load += found[i].Load
+	}
+	return m
+}
+
+// quota returns how many of n slots a class may hold. Where its share makes less
+// than one slot, it may hold one, and the region's total keeps the others free.
+func quota(share, n float64) float64 { return max(1, math.Floor(share*n+1e-9)) }
+
+// limit returns how many of the region's slots the class may hold.
+func (m *room) limit() float64 {
+	most := quota(m.share, m.slots)
+	if m.kept == 0 {
+		return most
+	}
+	return max(min(most, math.Floor(m.slots-m.kept)), quota(assured, m.slots))
+}
+
+// fits reports whether c has a slot for work of the class that m was made for.
+func (m *room) fits(c *fleet.Candidate) bool {
+	if c.Load+1 > float64(c.Slots) {
+		return false
+	}
+	if m.share >= 1 {
+		return true
+	}
+	return c.Long+1 <= quota(m.share, float64(c.Slots)) && m.long+1 <= m.limit()
+}
+
+// demand is the mean number of slots that urgent work holds in a region.
+type demand struct {
+	mean float64
+	at   clock.Time
+}
+
+// demands holds the demand of urgent work at each place.
+type demands map[place]*demand
+
+// note takes in the region's state at the time now, when a is to be placed. Urgent
+// work that has waited shows that the demand is larger than what the slots hold, by
+// what came meanwhile.
+func (d demands) note(now clock.Time, p place, a *Ask, m *room, duration float64) {
+	x := max(0, m.load-m.long)
+	if !a.Long {
+		x *= 1 + float64(a.Waited)/duration
+	}
+	x = min(x, m.slots)
+	e := d[p]
+	if e == nil {
+		d[p] = &demand{mean: x, at: now}
+		return
+	}
+	constant := float64(fall)
+	if x > e.mean {
+		constant = float64(rise)
+	}
+	passed := max(0, float64(now.Sub(e.at)))
+	e.mean += (x - e.mean) * (1 - math.Exp(-passed/constant))
+	e.at = now
+}
+
+// kept returns how many slots are kept free for urgent work.
+func (d demands) kept(p place) float64 {
+	e := d[p]
+	if e == nil {
+		return 0
+	}
+	return e.mean + spread*math.Sqrt(e.mean)
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -133,6 +133,29 @@
 	require.False(t, ok, "nothing there gives way")
 }
 
+// Guards against long work that takes at once what urgent work needs, and against
+// long work that starves when urgent work could use every slot.
+func TestDemand(t *testing.T) {
+	for name, tt := range map[string]struct {
+		loads []float64
+		long  float64
+		want  bool
+	}{
+		"little demand":        {loads: []float64{1, 1, 1, 0}, long: 1, want: true},
+		"demand over the rest": {loads: []float64{4, 4, 4, 3}, long: 1.5},
+		"assured":              {loads: []float64{5, 5, 5, 0}, long: 0.75, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := &stub{found: map[ident.Region][]fleet.Candidate{"a": region("a", tt.loads...)}, away: 1}
+			for i := range v.found["a"] {
+				v.found["a"][i].Long = tt.long
+			}
+			_, ok := policy(t, route.Tanager).Choose(1, long(), v)
+			require.Equal(t, tt.want, ok)
+		})
+	}
+}
+
 // Guards against work sent away without need, to a region that is full or unknown,
 // or over a link without budget; and against a rush on one summary.
 func TestSendingAway(t *testing.T) {
--- a/route/tanager.go
+++ b/route/tanager.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -31,21 +30,12 @@
 // free for urgent work, and sends to other regions what would wait too long.
 type tanager struct {
 	*picker
-	away *away
-}
-
-// room is the part of a region's slots that an ask may use.
-type room struct {
-	share float64
-	// slots and long are the sums over the region's candidates.
-	slots float64
-	long  float64
-	// load is the sum of loads.
-	load float64
+	away    *away
+	demands demands
 }
 
 func newTanager(random *rand.Rand) *tanager {
-	return &tanager{picker: newPicker(random), away: newAway()}
+	return &tanager{picker: newPicker(random), away: newAway(), demands: demands{}}
 }
 
 // String returns the policy's name.
@@ -93,7 +83,7 @@
 		return t.elsewhere(now, a, v, avoid)
 	}
 	usable := t.filter(now, a, own, found, avoid)
-	m := measure(found, share(a, v))
+	m := t.measure(now, a, v, found)
 	if i := t.probe(a, m, found, usable); i >= 0 {
 		return at(found, i, own), true
 	}
@@ -112,6 +102,16 @@
 	return Choice{}, false
 }
 
+// measure sums up the candidates of the entry's region and takes in what urgent work
+// holds there.
+func (t *tanager) measure(now clock.Time, a *Ask, v View, found []fleet.Candidate) room {
+	m := measure(found, share(a, v))
+	p := place{a.Service, v.Region()}
+	t.demands.note(now, p, a, &m, t.away.duration(a, found))
+	m.kept = t.demands.kept(p)
+	return m
+}
+
 // at returns the choice of candidate i in the entry's region.
 func at(found []fleet.Candidate, i int, own ident.Region) Choice {
 	return Choice{Endpoint: found[i].Endpoint, Region: own}
@@ -147,32 +147,6 @@
 	return s
 }
 
-// measure sums up a region's candidates.
-func measure(found []fleet.Candidate, share float64) room {
-	m := room{share: share}
-	for i := range found {
-		m.slots += float64(found[i].Slots)
-		m.long += found[i].Long
-		m.load += found[i].Load
-	}
-	return m
-}
-
-// quota returns how many of n slots a class may hold. Where its share makes less
-// than one slot, it may hold one, and the region's total keeps the others free.
-func quota(share, n float64) float64 { return max(1, math.Floor(share*n+1e-9)) }
-
-// fits reports whether c has a slot for work of the class that m was made for.
-func (m *room) fits(c *fleet.Candidate) bool {
-	if c.Load+1 > float64(c.Slots) {
-		return false
-	}
-	if m.share >= 1 {
-		return true
-	}
-	return c.Long+1 <= quota(m.share, float64(c.Slots)) && m.long+1 <= quota(m.share, m.slots)
-}
-
 // slow reports whether c is to get only probes.
 func slow(c *fleet.Candidate) bool { return c.Weight < sluggish && !c.Cold }
 
