perf(route): let urgent work squeeze in where a slot is free soonest

Cause: urgent work beyond the slots went to the engine with the least load per slot, which may run mostly long work and free its next slot after seconds, and only after a wait that the line's length made look long. Change: it takes the engine with the most urgent work on its slots, after a wait of an eighth of the target.

--- a/route/tanager.go
+++ b/route/tanager.go
@@ -16,6 +16,9 @@
 	// detour is how many times its size a request must have waited before it goes to
 	// a slow endpoint. That is what it loses there if the endpoint is 5 times slower.
 	detour = 4
+	// lasting is the assumed rate at which slots of long work become free, relative to
+	// those of urgent work.
+	lasting = 0.2
 	// surplus is by how much an endpoint's load may exceed the average of its peers for
 	// prefix affinity to hold.
 	surplus = 1.25
@@ -96,7 +99,7 @@
 	}
 	// send filters the candidates of other regions.
 	usable = t.filter(now, a, own, found, avoid)
-	if i := t.resort(a, m, found, usable, wait); i >= 0 {
+	if i := t.resort(a, m, found, usable); i >= 0 {
 		return at(found, i, own), true
 	}
 	return Choice{}, false
@@ -223,8 +226,8 @@
 // resort returns the index of the endpoint for a request that neither finds a slot
 // here nor is sent away, or -1: one request more than its slots on an engine that
 // runs long work, which gives way to urgent work, or a slow endpoint.
-func (t *tanager) resort(a *Ask, m room, found []fleet.Candidate, usable []int, wait clock.Span) int {
-	if i := squeeze(a, m, found, usable, wait); i >= 0 {
+func (t *tanager) resort(a *Ask, m room, found []fleet.Candidate, usable []int) int {
+	if i := squeeze(a, m, found, usable); i >= 0 {
 		return i
 	}
 	if a.Waited < detour*max(a.Size, clock.Second/detour) {
@@ -239,9 +242,10 @@
 	return best
 }
 
-// squeeze returns the index of an endpoint that takes urgent work beyond its slots, or -1.
-func squeeze(a *Ask, m room, found []fleet.Candidate, usable []int, wait clock.Span) int {
-	if m.share < 1 || a.Long || a.Urgency > 0 || wait < a.First/4 {
+// squeeze returns the index of an endpoint that takes urgent work beyond its slots, or
+// -1. Of several it takes the one where a slot is likely to become free first.
+func squeeze(a *Ask, m room, found []fleet.Candidate, usable []int) int {
+	if m.share < 1 || a.Long || a.Urgency > 0 || a.Waited < a.First/8 {
 		return -1
 	}
 	best := -1
@@ -250,9 +254,16 @@
 		if c.Load > float64(c.Slots) || c.Long < 1 || c.Cold || slow(c) {
 			continue
 		}
-		if best < 0 || burden(c) < burden(&found[best]) {
+		if best < 0 || turnover(c) > turnover(&found[best]) {
 			best = i
 		}
 	}
 	return best
 }
+
+// turnover rates how soon work beyond the slots of c starts: the more urgent work runs
+// there, which holds its slots for a short time, the sooner.
+func turnover(c *fleet.Candidate) float64 {
+	beyond := max(1, c.Load+1-float64(c.Slots))
+	return (c.Load - c.Long + lasting*c.Long) / beyond
+}
