test(stage): let two entries share a region that loads models

Cause: with one entry for each region the test did not show that entries which decide alone keep the bound together. Change: four entries, two of them in the region whose engines crash.

--- a/stage/models_test.go
+++ b/stage/models_test.go
@@ -50,7 +50,7 @@
 // order that takes a model away at an engine which ignores the fencing number.
 func TestCrashedEnginesGetTheirModel(t *testing.T) {
 	ctx, s := run(t, stage.Config{
-		Entries: 3, Runners: 18, Loads: &stage.Loads{Size: 1 << 20, Rate: 1 << 20, Ignore: true},
+		Entries: 4, Runners: 18, Loads: &stage.Loads{Size: 1 << 20, Rate: 1 << 20, Ignore: true},
 	})
 	region, model := s.Regions()[0], s.Document().Services[0].Model
 	crashed := s.EnginesIn(region)[:2] // a third of them
