test(proof): end a drain by a second signal and cut one direction

Cause: neither the second signal nor a one-way cut had a test with processes, and the streams of drain.txtar were shorter than meant: without a length in the prompt the stand-in answers 64 tokens.

--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"slices"
 	"strconv"
@@ -43,15 +44,21 @@
 
 // commands are what the scripts use; each is documented at its function.
 var commands = map[string]func(*testscript.TestScript, bool, []string){
-	"deploy":   deploy,
-	"entry":    on(startEntry),
-	"signal":   on(signalEntry),
-	"exits":    on(exits),
-	"await":    on(awaitState),
-	"version":  on(awaitVersion),
-	"meet":     on(meet),
-	"settles":  on(settles),
-	"cut":      on(func(s *scene, args []string) error { s.stage.Cut(ident.Region(args[0])); return nil }),
+	"deploy":  deploy,
+	"entry":   on(startEntry),
+	"signal":  on(signalEntry),
+	"exits":   on(exits),
+	"await":   on(awaitState),
+	"version": on(awaitVersion),
+	"meet":    on(meet),
+	"settles": on(settles),
+	"cut":     on(func(s *scene, args []string) error { s.stage.Cut(ident.Region(args[0])); return nil }),
+	"cutpair": on(func(s *scene, args []string) error {
+		s.stage.CutPair(ident.Region(args[0]), ident.Region(args[1]))
+		return nil
+	}),
+	"logged":   on(logged),
+	"sees":     on(func(s *scene, args []string) error { return eventually(func() error { return named(s, args) }) }),
 	"heal":     on(func(s *scene, _ []string) error { s.stage.Heal(); return nil }),
 	"outage":   on(func(s *scene, args []string) error { s.stage.Platform.Silence(args[0] == "on"); return nil }),
 	"stale":    on(stale),
@@ -294,7 +301,7 @@
 	b := &batch{}
 	for i := range count {
 		b.group.Go(func() {
-			b.add(s.complete(args[0], strconv.Itoa(i)+" of "+args[0]+" "+args[2], ident.Tokens(tokens)))
+			b.add(s.complete(args[0], fmt.Sprintf("prompt %d at %s [len=%d]", i, args[0], tokens), ident.Tokens(tokens)))
 		})
 	}
 	if slices.Contains(args, "&") {
@@ -419,6 +426,15 @@
 	return nil
 }
 
+// logged NAME TEXT checks that a process has logged a text.
+func logged(s *scene, args []string) error {
+	p := s.processes[args[0]]
+	if !strings.Contains(p.log.String(), args[1]) {
+		return errors.Errorf("%s has not logged %q: %s", args[0], args[1], p.log)
+	}
+	return nil
+}
+
 // sleep DURATION lets time pass.
 func sleep(_ *scene, args []string) error {
 	d, err := time.ParseDuration(args[0])
