--- a/trial/table.go
+++ b/trial/table.go
@@ -108,7 +108,9 @@
 func (s *Series) print(r *Result, single bool) {
 	switch {
 	case s.JSON:
-		_ = json.NewEncoder(s.Out).Encode(r)
+		e := json.NewEncoder(s.Out)
+		e.SetEscapeHTML(false) // the names of links hold ">"
+		_ = e.Encode(r)
 	case single:
 		printOne(s.Out, r)
 	default:
