perf(route): keep no margin beyond the mean demand of urgent work

Cause: half a root of margin, a mean that follows rises within 250 ms and the correction for urgent work that waits kept more free than urgent work used, so that long work was sent away or waited although slots were free. Change: long work leaves the mean load of urgent work free and nothing beyond; the mean follows a rise within 500 ms; no correction for what waits.

Test: TestDemand checks the same limit where it still applies, after demand has fallen; with a margin it could be checked within one instant.

--- a/route/room.go
+++ b/route/room.go
@@ -10,12 +10,9 @@
 const (
 	// rise and fall are the time constants of the mean demand of urgent work. Slots
 	// given to long work come back only after seconds, so that a rise has to be followed
-	// at once, and a fall can wait.
-	rise = clock.Second / 4
+	// sooner than a fall.
+	rise = clock.Second / 2
 	fall = 2 * clock.Second
-	// spread is how many times the root of the mean demand of urgent work is kept free
-	// beyond that mean. The number of requests in progress varies about by its root.
-	spread = 0.5
 	// assured is the share of a region's slots that long work may hold whatever the
 	// demand of urgent work is.
 	assured = 0.25
@@ -77,15 +74,9 @@
 // demands holds the demand of urgent work at each place.
 type demands map[place]*demand
 
-// note takes in the region's state at the time now, when a is to be placed. Urgent
-// work that has waited shows that the demand is larger than what the slots hold, by
-// what came meanwhile.
-func (d demands) note(now clock.Time, p place, a *Ask, m *room, duration float64) {
-	x := max(0, m.load-m.long)
-	if !a.Long {
-		x *= 1 + float64(a.Waited)/duration
-	}
-	x = min(x, m.slots)
+// note takes in the region's state at the time now.
+func (d demands) note(now clock.Time, p place, m *room) {
+	x := min(max(0, m.load-m.long), m.slots)
 	e := d[p]
 	if e == nil {
 		d[p] = &demand{mean: x, at: now}
@@ -102,9 +93,8 @@
 
 // kept returns how many slots are kept free for urgent work.
 func (d demands) kept(p place) float64 {
-	e := d[p]
-	if e == nil {
-		return 0
+	if e := d[p]; e != nil {
+		return e.mean
 	}
-	return e.mean + spread*math.Sqrt(e.mean)
+	return 0
 }
--- a/route/tanager.go
+++ b/route/tanager.go
@@ -110,7 +110,7 @@
 func (t *tanager) measure(now clock.Time, a *Ask, v View, found []fleet.Candidate) room {
 	m := measure(found, share(a, v))
 	p := place{a.Service, v.Region()}
-	t.demands.note(now, p, a, &m, t.away.duration(a, found))
+	t.demands.note(now, p, &m)
 	m.kept = t.demands.kept(p)
 	return m
 }
