fix(core): run suspects of two entries on endpoints of their own

Two crashes refuse a request. Change: each live entry of a region runs suspects on every n-th endpoint, by its place among the entries; other regions are left to their entries. Result: TestSuspectsOfTwoEntriesRunApart fails without the change and passes with it; go test ./core ./proof passes.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -13,6 +13,8 @@
 	"github.com/tanagerbridge/tanagerbridge/fleet"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/ledger"
+	"github.com/tanagerbridge/tanagerbridge/member"
+	"github.com/tanagerbridge/tanagerbridge/news"
 	"github.com/tanagerbridge/tanagerbridge/route"
 	"github.com/tanagerbridge/tanagerbridge/watch"
 )
@@ -297,3 +299,33 @@
 	again := b.Apply(b.now, core.Ended{Request: "a", Try: d.Try, Outcome: fleet.Broken})
 	only[core.Dispatch](t, append(again, b.wait(clock.Second)...))
 }
+
+// Guards against two entries of a region that run suspects on the same endpoint: an
+// innocent one would crash a second time and be refused.
+func TestSuspectsOfTwoEntriesRunApart(t *testing.T) {
+	used := make(map[ident.Endpoint]ident.Entry)
+	for _, name := range []ident.Entry{"e1", "e2"} {
+		b := newBench(t, name, "r1", 1, 1000)
+		b.Apply(b.now, core.Peers{Ready: true, Live: []member.Member{
+			{Member: news.Member{Entry: "e1", Region: "r1", State: news.Alive}},
+			{Member: news.Member{Entry: "e2", Region: "r1", State: news.Alive}},
+		}})
+		for i := range 20 {
+			a := chat(ident.Request(fmt.Sprint(name, i)))
+			a.Fingerprint = ident.Fingerprint(100 + i)
+			b.Apply(b.now, core.Heard{News: news.News{Accusations: []news.Accusation{{Fingerprint: a.Fingerprint, Rest: clock.Minute}}}})
+			for _, action := range b.Apply(b.now, a) {
+				d, ok := action.(core.Dispatch)
+				if !ok {
+					continue
+				}
+				if other, ok := used[d.Endpoint]; ok {
+					require.Equal(t, name, other, "both use %s", d.Endpoint)
+				}
+				used[d.Endpoint] = name
+				b.Apply(b.now, core.Ended{Request: d.Request, Try: d.Try, Outcome: fleet.Complete})
+			}
+		}
+	}
+	require.Len(t, used, 2)
+}
--- a/core/place.go
+++ b/core/place.go
@@ -117,11 +117,12 @@
 		Avoid:   r.avoid,
 		Bytes:   r.Bytes,
 	}
-	choice, ok := c.policy.Choose(now, ask, view{c, now})
+	seen := c.viewFor(now, &ask)
+	choice, ok := c.policy.Choose(now, ask, seen)
 	if !ok && len(r.avoid) > 0 {
 		// An endpoint that failed this request is better than none.
 		ask.Avoid = nil
-		choice, ok = c.policy.Choose(now, ask, view{c, now})
+		choice, ok = c.policy.Choose(now, ask, seen)
 	}
 	if ok && !slices.Contains(t.allowed, choice.Region) {
 		c.counts.Misrouted++
@@ -130,6 +131,14 @@
 	return choice, ok
 }
 
+func (c *Core) viewFor(now clock.Time, a *route.Ask) route.View {
+	v := view{c, now}
+	if a.Alone {
+		return suspectView{view: v, home: slices.Contains(a.Regions, c.region)}
+	}
+	return v
+}
+
 func (c *Core) dispatch(now clock.Time, r *request, choice route.Choice, hedge bool) {
 	if r.number == 0 {
 		r.waited = now.Sub(r.arrived)
