feat(entry): notice a cut link in one round of polls

Change: when several endpoints of another region were polled in a round and none answered, all of the region's endpoints count as down, and work whose answer has not begun goes elsewhere. One slow endpoint changes nothing. Both new tests fail without the change.

--- a/core/core.go
+++ b/core/core.go
@@ -22,6 +22,8 @@
 )
 
 const (
+	// missesToDown is how many missed reports make an endpoint down; see package fleet.
+	missesToDown = 3
 	// pauseLimit is the gap between two ticks that shows that the process was stopped.
 	pauseLimit = 2 * clock.Second
 	// suspectTerm is how long a request that crashed endpoints is refused.
@@ -127,6 +129,15 @@
 		c.gone(now, e.Request)
 	case Told:
 		c.told(now, e)
+	default:
+		c.applyWorld(now, e)
+	}
+	return c.actions
+}
+
+// applyWorld takes an event that is not about one request.
+func (c *Core) applyWorld(now clock.Time, e Event) {
+	switch e := e.(type) {
 	case Listed:
 		c.listed(now, e.Instances)
 	case Peers:
@@ -135,6 +146,8 @@
 		c.reported(now, e)
 	case Missed:
 		c.missed(now, e)
+	case Unreached:
+		c.unreached(now, e.Region)
 	case Heard:
 		c.heard(now, e.News)
 	case Ordered:
@@ -146,7 +159,6 @@
 	case Draining:
 		c.draining, c.drainEnd = true, now.Add(e.Linger)
 	}
-	return c.actions
 }
 
 func (c *Core) act(a Action) { c.actions = append(c.actions, a) }
@@ -220,6 +232,22 @@
 	c.requests.each(func(r *request) { c.abandon(now, r, e.Endpoint) })
 }
 
+// unreached takes all endpoints of a region as down. One missed report proves
+// nothing, but all of a region's in one round show a cut link.
+func (c *Core) unreached(now clock.Time, region ident.Region) {
+	for _, t := range c.fleet.Targets() {
+		if t.Region != region {
+			continue
+		}
+		for range missesToDown {
+			if c.fleet.State(t.Endpoint) != fleet.Down {
+				c.fleet.Missed(now, t.Endpoint)
+			}
+		}
+		c.requests.each(func(r *request) { c.abandon(now, r, t.Endpoint) })
+	}
+}
+
 // abandon takes a request whose answer has not begun away from an endpoint.
 func (c *Core) abandon(now clock.Time, r *request, id ident.Endpoint) {
 	if r.once || r.begun > 0 {
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -329,3 +329,18 @@
 	}
 	require.Len(t, used, 2)
 }
+
+// Guards against long work that waits at endpoints behind a cut link.
+func TestUnreachedRegionGivesWorkBack(t *testing.T) {
+	b := newBench(t, "e1", "r1", 1, 1000)
+	b.Apply(b.now, core.Listed{Instances: instances()[4:]})
+	b.wait(70 * clock.Second)
+	a := chat("a")
+	a.Answer = 2000
+	d := only[core.Dispatch](t, b.Apply(b.now, a))
+	require.Equal(t, ident.Region("r2"), d.Region)
+	b.Apply(b.now, core.Listed{Instances: instances()})
+	actions := b.Apply(b.now, core.Unreached{Region: "r2"})
+	only[core.Cancel](t, actions)
+	require.Equal(t, ident.Region("r1"), only[core.Dispatch](t, append(actions, b.wait(clock.Second)...)).Region)
+}
--- a/core/event.go
+++ b/core/event.go
@@ -104,6 +104,12 @@
 	Refused bool
 }
 
+// Unreached says that no endpoint of another region answered within one round of
+// polls, as when the link to it is cut.
+type Unreached struct {
+	Region ident.Region
+}
+
 // Heard carries the news of a peer.
 type Heard struct {
 	News news.News
@@ -127,17 +133,18 @@
 	Linger clock.Span
 }
 
-func (Arrived) event()  {}
-func (First) event()    {}
-func (Ended) event()    {}
-func (Gone) event()     {}
-func (Told) event()     {}
-func (Listed) event()   {}
-func (Peers) event()    {}
-func (Reported) event() {}
-func (Missed) event()   {}
-func (Heard) event()    {}
-func (Bundled) event()  {}
-func (Tick) event()     {}
-func (Draining) event() {}
-func (Ordered) event()  {}
+func (Arrived) event()   {}
+func (First) event()     {}
+func (Ended) event()     {}
+func (Gone) event()      {}
+func (Told) event()      {}
+func (Listed) event()    {}
+func (Peers) event()     {}
+func (Reported) event()  {}
+func (Missed) event()    {}
+func (Unreached) event() {}
+func (Heard) event()     {}
+func (Bundled) event()   {}
+func (Tick) event()      {}
+func (Draining) event()  {}
+func (Ordered) event()   {}
--- a/entry/polls_test.go
+++ b/entry/polls_test.go
@@ -95,3 +95,18 @@
 	hangs.failed++
 	require.NotContains(t, p.next(repolls+1, targets), hangs)
 }
+
+// Guards against a link that is cut and not noticed until three rounds of polls have
+// failed, and against a region that is given up for one slow endpoint.
+func TestSilentRegions(t *testing.T) {
+	turn := func(region ident.Region, failed int) *pollTurn {
+		return &pollTurn{target: fleet.Target{Region: region}, failed: failed}
+	}
+	turns := []*pollTurn{
+		turn("own", 1), turn("own", 1),
+		turn("cut", 1), turn("cut", 1),
+		turn("slow", 1), turn("slow", 0),
+		turn("small", 1),
+	}
+	require.Equal(t, []ident.Region{"cut"}, silentRegions("own", turns))
+}
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -207,6 +208,38 @@
 		})
 	}
 	polls.Wait()
+	for _, region := range silentRegions(s.settings.Region, turns) {
+		s.log.Warn("region does not answer", zap.String("other", string(region)))
+		s.shell.apply(core.Unreached{Region: region})
+	}
+}
+
+// silentEndpoints is how many endpoints of a region must have been polled in vain for
+// the region to count as unreached.
+const silentEndpoints = 2
+
+// silentRegions returns the other regions of which several endpoints were polled and
+// none answered.
+func silentRegions(own ident.Region, turns []*pollTurn) []ident.Region {
+	var regions []ident.Region
+	for _, t := range turns {
+		if t.target.Region != own && !slices.Contains(regions, t.target.Region) {
+			regions = append(regions, t.target.Region)
+		}
+	}
+	return slices.DeleteFunc(regions, func(r ident.Region) bool {
+		polled := 0
+		for _, t := range turns {
+			if t.target.Region != r {
+				continue
+			}
+			if t.failed == 0 {
+				return true
+			}
+			polled++
+		}
+		return polled < silentEndpoints
+	})
 }
 
 func pollTargets(c *core.Core, _ clock.Time) []fleet.Target { return c.PollTargets() }
