fix(core): keep budgets over versions that don't change them

Change: retry and link budgets are made anew only when their bounds change. Result: TestNewVersionKeepsRetryBudget fails without the change (10 refusals instead of 20) and passes with it.

--- a/core/core.go
+++ b/core/core.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"github.com/tanagerbridge/tanagerbridge/assign"
 	"github.com/tanagerbridge/tanagerbridge/budget"
@@ -55,15 +56,18 @@
 	force       *bundle.Force
 	policy      route.Policy
 
-	version  ident.Version
-	fleet    *fleet.Fleet
-	queue    *queue.Queue
-	retries  *budget.Retry
-	links    []linkBudget
-	suspects *crash.Suspects
-	ledger   *ledger.Ledger
-	burn     *burn.Meter
-	planner  *assign.Planner
+	version ident.Version
+	fleet   *fleet.Fleet
+	queue   *queue.Queue
+	retries *budget.Retry
+	// retryBounds and linkBounds are what the budgets were made from.
+	retryBounds bundle.Retry
+	linkBounds  []bundle.Link
+	links       []linkBudget
+	suspects    *crash.Suspects
+	ledger      *ledger.Ledger
+	burn        *burn.Meter
+	planner     *assign.Planner
 	// planned is when model orders were last planned.
 	planned clock.Time
 	hints   hints
@@ -172,14 +176,27 @@
 	c.version = doc.Version
 	c.queue.Configure(queue.Config{Limit: doc.Limits.Queue, Caller: doc.Limits.Caller})
 	c.ledger.Limit(doc.Limits.Answers)
-	c.retries = budget.NewRetry(doc.Retry.Share, doc.Retry.Burst)
-	c.links = linkBudgets(doc, c.region)
+	c.adoptBudgets(doc)
 	c.burn.Objectives(doc.Classes)
 	for i := range doc.Services {
 		c.fleet.Want(doc.Services[i].Name, doc.Services[i].Model)
 	}
 }
 
+// adoptBudgets replaces the budgets whose bounds have changed. The others keep their
+// state, since a new budget is full: with 2,500 versions a day, a burst of retries
+// could follow each.
+func (c *Core) adoptBudgets(doc *bundle.Document) {
+	if doc.Retry != c.retryBounds {
+		c.retryBounds = doc.Retry
+		c.retries = budget.NewRetry(doc.Retry.Share, doc.Retry.Burst)
+	}
+	if !slices.Equal(doc.Links, c.linkBounds) {
+		c.linkBounds = doc.Links
+		c.links = linkBudgets(doc, c.region)
+	}
+}
+
 func linkBudgets(doc *bundle.Document, from ident.Region) []linkBudget {
 	var links []linkBudget
 	for _, l := range doc.Links {
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -32,14 +33,21 @@
  "links": []}`
 
 // signed returns the document above, signed, and the key that verifies it.
-func signed(t require.TestingT) ([]byte, []bundle.PublicKey) { return signedText(t, document) }
+func signed(t require.TestingT) ([]byte, []bundle.PublicKey) {
+	return signedText(t, document)
+}
 
 func signedText(t require.TestingT, text string) ([]byte, []bundle.PublicKey) {
+	encoded, keys, _ := signedBy(t, text)
+	return encoded, keys
+}
+
+func signedBy(t require.TestingT, text string) ([]byte, []bundle.PublicKey, bundle.PrivateKey) {
 	public, private, err := bundle.GenerateKey("k1")
 	require.NoError(t, err)
 	s, err := bundle.Sign(private, []byte(text))
 	require.NoError(t, err)
-	return s.Encode(), []bundle.PublicKey{public}
+	return s.Encode(), []bundle.PublicKey{public}, private
 }
 
 // bench is one core with a clock and two endpoints of each service in its region.
@@ -344,3 +352,43 @@
 	only[core.Cancel](t, actions)
 	require.Equal(t, ident.Region("r1"), only[core.Dispatch](t, append(actions, b.wait(clock.Second)...)).Region)
 }
+
+// Guards against a retry budget that each new version of the bundle fills again.
+func TestNewVersionKeepsRetryBudget(t *testing.T) {
+	encoded, keys, private := signedBy(t, document)
+	force := bundle.NewForce(keys)
+	_, err := force.Offer(encoded)
+	require.NoError(t, err)
+	policy, err := route.New("tanager", 1)
+	require.NoError(t, err)
+	b := &bench{now: 1000, name: "e1", Core: core.New(core.Config{
+		Entry: "e1", Incarnation: 1, Region: "r1", Seed: 1, Force: force, Policy: policy,
+	})}
+	b.Apply(b.now, core.Listed{Instances: instances()})
+	b.Apply(b.now, core.Peers{Ready: true})
+	b.Apply(b.now, core.Tick{})
+	resend := func(i int) core.Arrived {
+		a := chat(ident.Request(fmt.Sprint("r", i)))
+		a.Attempt = 9
+		return a
+	}
+	refusals := func() (n int) {
+		for i := range 20 {
+			for _, a := range b.Apply(b.now, resend(i)) {
+				switch a := a.(type) {
+				case core.Refuse:
+					n++
+				case core.Dispatch:
+					b.Apply(b.now, core.Ended{Request: a.Request, Try: a.Try, Outcome: fleet.Complete})
+				}
+			}
+		}
+		return n
+	}
+	require.Equal(t, 10, refusals(), "the burst is 10")
+	next, err := bundle.Sign(private, []byte(strings.Replace(document, `"version": 1`, `"version": 2`, 1)))
+	require.NoError(t, err)
+	_, err = force.Offer(next.Encode())
+	require.NoError(t, err)
+	require.Equal(t, 20, refusals())
+}
