refactor(names): use the usual terms

Cause: a newcomer met figurative names: heir, bequeath, orphaned, stranger, shelf, pacer, keeper, guilty, sighting. Change: successor, transfer, no successor, unauthenticated, model set, backoff, ticket file, cause and observation; the message field heir is called successor, which all entries of one version share.

--- a/bundle/check.go
+++ b/bundle/check.go
@@ -19,7 +19,7 @@
 	maxVersion = 1<<53 - 1
 	maxUrgency = 15
 	maxSpan    = 24 * 60 * clock.Minute
-	// maxValidity stays below the 10 minutes for which peers remember an heir.
+	// maxValidity stays below the 10 minutes for which peers remember a successor.
 	maxValidity = 5 * clock.Minute
 	maxTokens   = 1_000_000_000
 	maxCount    = 1_000_000
--- a/cmd/send.go
+++ b/cmd/send.go
@@ -148,7 +148,7 @@
 
 func sendCall(ctx context.Context, c *cli.Command, settings caller.Config) error {
 	errOut := c.Root().ErrWriter
-	k := keeper{path: c.String("keep"), ticket: c.String("ticket")}
+	k := ticketFile{path: c.String("keep"), ticket: c.String("ticket")}
 	if err := k.load(); err != nil {
 		return err
 	}
@@ -180,15 +180,15 @@
 	return client.Call(ctx, method, path, body)
 }
 
-// keeper holds the ticket of a call in a file until its outcome is known.
-type keeper struct {
+// ticketFile holds the ticket of a call in a file until its outcome is known.
+type ticketFile struct {
 	// path is empty if the ticket isn't kept.
 	path   string
 	ticket string
 }
 
 // load reads the ticket that an earlier run left.
-func (k *keeper) load() error {
+func (k *ticketFile) load() error {
 	if k.path == "" {
 		return nil
 	}
@@ -200,7 +200,7 @@
 	return errors.Wrap(err, "--keep")
 }
 
-func (k *keeper) store(ticket string) error {
+func (k *ticketFile) store(ticket string) error {
 	k.ticket = ticket
 	if k.path == "" {
 		return nil
@@ -210,7 +210,7 @@
 
 // settled turns an outcome without an answer into an exit status. The ticket of
 // an unknown one is kept.
-func (k *keeper) settled(o caller.Outcome, err error) error {
+func (k *ticketFile) settled(o caller.Outcome, err error) error {
 	status := exitNotRun
 	switch o.State {
 	case caller.Unknown:
@@ -224,7 +224,7 @@
 	return &statusError{error: err, status: status}
 }
 
-func (k *keeper) drop() error {
+func (k *ticketFile) drop() error {
 	if k.path == "" {
 		return nil
 	}
--- a/core/once.go
+++ b/core/once.go
@@ -140,7 +140,7 @@
 	return c.ledger.Void(now, t)
 }
 
-// Seal ends the ledger of a leaving entry and returns what its heir needs.
+// Seal ends the ledger of a leaving entry and returns what its successor needs.
 func (c *Core) Seal(now clock.Time) ledger.Handover { return c.ledger.Seal(now) }
 
 // Adopt takes over the ledger of a peer that leaves. An entry that leaves itself declines.
--- a/core/property_test.go
+++ b/core/property_test.go
@@ -18,17 +18,17 @@
 // world interleaves several cores with lost, late and repeated messages, and
 // counts how often an endpoint places each order.
 type world struct {
-	t       *rapid.T
-	entries []*bench
-	lives   ident.Incarnation
-	sends   int
-	tickets []ticket.Ticket
-	runs    []run
-	asks    []ask
-	heirs   []heir
-	placed  map[ticket.Ticket]int
-	refused map[ticket.Ticket]bool
-	sent    map[ident.Request]ticket.Ticket
+	t          *rapid.T
+	entries    []*bench
+	lives      ident.Incarnation
+	sends      int
+	tickets    []ticket.Ticket
+	runs       []run
+	asks       []ask
+	successors []successor
+	placed     map[ticket.Ticket]int
+	refused    map[ticket.Ticket]bool
+	sent       map[ident.Request]ticket.Ticket
 	// text is the document in force. If its service takes keys, seen holds those that
 	// it has placed.
 	text string
@@ -51,7 +51,7 @@
 	core.Ask
 }
 
-type heir struct {
+type successor struct {
 	entry       ident.Entry
 	incarnation ident.Incarnation
 	bench       *bench
@@ -211,7 +211,7 @@
 				outcome = b.Told(b.now, a.Ticket)
 			}
 		}
-		for _, h := range w.heirs {
+		for _, h := range w.successors {
 			if h.entry == a.Ticket.Entry && h.incarnation == a.Ticket.Incarnation {
 				outcome = h.bench.Told(h.bench.now, a.Ticket)
 			}
@@ -230,7 +230,7 @@
 	b.Apply(b.now, core.Draining{})
 	h := b.Seal(b.now)
 	if w.entries[j].Adopt(w.entries[j].now, h) == nil {
-		w.heirs = append(w.heirs, heir{entry: h.Entry, incarnation: h.Incarnation, bench: w.entries[j]})
+		w.successors = append(w.successors, successor{entry: h.Entry, incarnation: h.Incarnation, bench: w.entries[j]})
 	}
 	w.restart(i)
 }
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -96,10 +96,10 @@
 // endpoint with a suspect that ran alone are not suspected.
 func (s *Suspects) Crashed(now clock.Time, inFlight []Mark) []news.Accusation {
 	marks := unique(inFlight)
-	guilty := s.alone(now, marks)
+	cause := s.alone(now, marks)
 	told := make([]news.Accusation, 0, len(marks))
 	for _, m := range marks {
-		if guilty != nil && m.Fingerprint != *guilty {
+		if cause != nil && m.Fingerprint != *cause {
 			continue
 		}
 		r := s.accuse(now, m.Fingerprint, 1/float64(len(marks)))
--- a/demo/probe.go
+++ b/demo/probe.go
@@ -26,8 +26,8 @@
 	if err != nil {
 		return err
 	}
-	w.probe(ctx, r, e[1].Address(), "probe-astray", ticket)
-	w.probe(ctx, r, e[0].Address(), "probe-astray", ticket)
+	w.probe(ctx, r, e[1].Address(), "probe-foreign", ticket)
+	w.probe(ctx, r, e[0].Address(), "probe-foreign", ticket)
 	return nil
 }
 
--- a/demo/watcher.go
+++ b/demo/watcher.go
@@ -17,11 +17,11 @@
 type watcher struct {
 	stage  *stage.Stage
 	checks *checks
-	seen   []sighting
+	seen   []observation
 }
 
-// sighting is the highest version that an entry has shown.
-type sighting struct {
+// observation is the highest version that an entry has shown.
+type observation struct {
 	entry   ident.Entry
 	version ident.Version
 }
@@ -53,7 +53,7 @@
 		w.seen[i].version = max(v, w.seen[i].version)
 		return
 	}
-	w.seen = append(w.seen, sighting{e, v})
+	w.seen = append(w.seen, observation{e, v})
 }
 
 // inForce waits until all entries outside the given region have the version,
--- a/fakes/enginehttp.go
+++ b/fakes/enginehttp.go
@@ -64,7 +64,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	running, waiting, age := p.gauge.read()
-	models, loading := p.shelf.lists()
+	models, loading := p.models.lists()
 	writeJSON(w, http.StatusOK, Load{
 		State: e.status(), Slots: e.cfg.Slots, Running: running, Waiting: waiting, Age: age, Prefixes: p.prefixes(),
 		Models: models, Loading: loading,
@@ -90,7 +90,7 @@
 		return
 	}
 	p := e.current()
-	if p != nil && p.shelf.empty() {
+	if p != nil && p.models.empty() {
 		e.log.add(request, j.hash, Refused)
 		w.Header().Set(headerState, string(StateLoading))
 		writeError(w, http.StatusServiceUnavailable, "the engine has no model")
--- a/fakes/shelf.go
+++ b/fakes/models.go
@@ -42,8 +42,8 @@
 	Status int
 }
 
-// shelf holds the models of an engine process; a crash loses it.
-type shelf struct {
+// modelSet holds the models of an engine process; a crash loses it.
+type modelSet struct {
 	cfg    ModelConfig
 	region ident.Region
 	stop   context.CancelFunc
@@ -55,8 +55,8 @@
 	fence   ident.Version
 }
 
-func newShelf(cfg ModelConfig, region ident.Region, first bool) *shelf {
-	s := &shelf{cfg: cfg, region: region}
+func newModelSet(cfg ModelConfig, region ident.Region, first bool) *modelSet {
+	s := &modelSet{cfg: cfg, region: region}
 	s.life, s.stop = context.WithCancel(context.Background())
 	if first || cfg.Preload {
 		s.loaded = slices.Clone(cfg.Names)
@@ -65,7 +65,7 @@
 }
 
 // lists returns the loaded and loading models; loaded is nil if the engine doesn't tell.
-func (s *shelf) lists() (loaded *[]string, loading []string) {
+func (s *modelSet) lists() (loaded *[]string, loading []string) {
 	if s.cfg.Names == nil {
 		return nil, nil
 	}
@@ -76,14 +76,14 @@
 }
 
 // empty tells whether no request can be run.
-func (s *shelf) empty() bool {
+func (s *modelSet) empty() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.cfg.Names != nil && len(s.loaded) == 0
 }
 
 // take carries out an order and returns the status of the answer.
-func (s *shelf) take(o ModelOrder) int {
+func (s *modelSet) take(o ModelOrder) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.cfg.Fence && o.Fence < s.fence {
@@ -100,7 +100,7 @@
 	return http.StatusAccepted
 }
 
-func (s *shelf) load(model string) {
+func (s *modelSet) load(model string) {
 	if s.cfg.Store != nil && !s.cfg.Store.Load(s.life, s.region, s.cfg.Size) {
 		return
 	}
@@ -127,7 +127,7 @@
 	}
 	status := http.StatusServiceUnavailable
 	if e.status() == StateReady && !e.takeDeferral() {
-		status = p.shelf.take(o)
+		status = p.models.take(o)
 	}
 	e.state.Lock()
 	e.ordered = append(e.ordered, OrderRecord{ModelOrder: o, Status: status})
@@ -165,7 +165,7 @@
 	if p == nil {
 		return nil
 	}
-	p.shelf.mu.Lock()
-	defer p.shelf.mu.Unlock()
-	return slices.Clone(p.shelf.loaded)
+	p.models.mu.Lock()
+	defer p.models.mu.Unlock()
+	return slices.Clone(p.models.loaded)
 }
--- a/fakes/process.go
+++ b/fakes/process.go
@@ -14,7 +14,7 @@
 	engine *Engine
 	dead   chan struct{}
 	gauge  *gauge
-	shelf  *shelf
+	models *modelSet
 
 	mu       sync.Mutex
 	killed   bool
@@ -32,7 +32,7 @@
 		engine: e,
 		dead:   make(chan struct{}),
 		gauge:  newGauge(e.cfg.Lag),
-		shelf:  newShelf(e.cfg.Models, e.cfg.Region, first),
+		models: newModelSet(e.cfg.Models, e.cfg.Region, first),
 		jobs:   map[ident.Request]*job{},
 		cache:  newCache(e.cfg.Memory, e.cfg.Block),
 	}
@@ -190,7 +190,7 @@
 	}
 	p.killed = true
 	close(p.dead)
-	p.shelf.stop()
+	p.models.stop()
 	for _, j := range p.waiting {
 		j.index = -1
 		p.engine.log.end(j.row, Lost, 0)
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -105,13 +105,13 @@
 	Answers ident.Bytes
 }
 
-// Handover is what a sealed ledger tells its heir. Its msgpack form is bounded
+// Handover is what a sealed ledger tells its successor. Its msgpack form is bounded
 // by MaxHandover.
 type Handover struct {
 	Entry       ident.Entry       `msgpack:"entry"`
 	Incarnation ident.Incarnation `msgpack:"incarnation"`
 	// Clock is the issuer's time at the seal. It turns the deadline of a ticket
-	// into a span, and means nothing else to the heir.
+	// into a span, and means nothing else to the successor.
 	Clock clock.Time `msgpack:"clock"`
 	// Margin is the Margin of the issuer's Config.
 	Margin clock.Span `msgpack:"margin"`
--- a/ledger/handover.go
+++ b/ledger/handover.go
@@ -20,7 +20,7 @@
 )
 
 // Seal ends the ledger: from now on Begin runs nothing that is not recorded
-// yet. It returns the records for the heir; requests that still run are handed
+// yet. It returns the records for the successor; requests that still run are handed
 // over as Unknown. If the records exceed MaxHandover, answers and then records
 // with the shortest rest are left out, and Partial is set for the latter. Seal may
 // be repeated, for example after another outcome was recorded.
@@ -63,7 +63,7 @@
 	h.Records = make([]Record, len(records))
 	for i, r := range records {
 		h.Records[i] = Record{r.sequence, r.due.Sub(p.now), Outcome{State: r.handedState(), Dropped: r.state == Done}}
-		// The heir may be in a region where the answer must not go.
+		// The successor may be in a region where the answer must not go.
 		if r.size > 0 && !r.bound {
 			p.packed = append(p.packed, packed{r, &h.Records[i]})
 		}
@@ -99,7 +99,7 @@
 	return n
 }
 
-// handedState is the state for an heir, which can't follow an execution.
+// handedState is the state for a successor, which can't follow an execution.
 func (r *record) handedState() State {
 	if r.state == Running {
 		return Unknown
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -116,22 +116,22 @@
 	require.Equal(t, ledger.Gone, l.Begin(start, third, "r2").Kind)
 }
 
-// Guards against an heir that calls a request "not run" that ran, or can't tell
+// Guards against a successor that calls a request "not run" that ran, or can't tell
 // that an unseen one never will, also after a second hand-over.
 func TestHandover(t *testing.T) {
-	owner, heir, next := newLedger("e1"), newLedger("e2"), newLedger("e3")
+	owner, successor, next := newLedger("e1"), newLedger("e2"), newLedger("e3")
 	ran, failed := run(owner, done("answer")), run(owner, ledger.Outcome{State: ledger.Unknown})
 	running, unseen := owner.Issue(start, "order-desk", "", validity), owner.Issue(start, "order-desk", "", validity)
 	owner.Begin(start, running, "r1")
-	_, ok := heir.Answer(start, ran)
+	_, ok := successor.Answer(start, ran)
 	require.False(t, ok)
-	const apart = 1_000_000 // the heir's clock shows another time
-	heir.Adopt(start+apart, sent(t, owner.Seal(start)))
+	const apart = 1_000_000 // the successor's clock shows another time
+	successor.Adopt(start+apart, sent(t, owner.Seal(start)))
 	require.Equal(t, ledger.Sealed, owner.Begin(start, unseen, "r2").Kind)
 	require.Equal(t, ledger.Replay, owner.Begin(start, ran, "r2").Kind)
-	require.Equal(t, ledger.Foreign, heir.Begin(start+apart, ran, "r2").Kind)
-	next.Adopt(start, sent(t, heir.Seal(start+apart)))
-	for now, l := range map[clock.Time]*ledger.Ledger{start + apart: heir, start: next} {
+	require.Equal(t, ledger.Foreign, successor.Begin(start+apart, ran, "r2").Kind)
+	next.Adopt(start, sent(t, successor.Seal(start+apart)))
+	for now, l := range map[clock.Time]*ledger.Ledger{start + apart: successor, start: next} {
 		wants := map[ticket.Ticket]ledger.Outcome{ran: done("answer"), failed: {State: ledger.Unknown}, running: {State: ledger.Unknown}, unseen: {State: ledger.Void}}
 		for k, want := range wants {
 			got, ok := l.Answer(now, k)
@@ -143,23 +143,23 @@
 		require.Equal(t, ledger.Unknown, l.Void(now, ran).State)
 	}
 	owner.Finish(start, running.Sequence, done("late"))
-	heir.Adopt(start+apart, sent(t, owner.Seal(start)))
-	require.Equal(t, done("late"), heir.Void(start+apart, running))
+	successor.Adopt(start+apart, sent(t, owner.Seal(start)))
+	require.Equal(t, done("late"), successor.Void(start+apart, running))
 }
 
 // Guards against a hand-over larger than a frame, and against "not run" from an
-// heir that received only a part of the records.
+// successor that received only a part of the records.
 func TestHandoverBound(t *testing.T) {
-	owner, heir := newLedger("e1"), newLedger("e2")
+	owner, successor := newLedger("e1"), newLedger("e2")
 	owner.Limit(1 << 24)
-	heir.Limit(1 << 24)
+	successor.Limit(1 << 24)
 	var tickets []ticket.Ticket
 	for range 40 {
 		tickets = append(tickets, run(owner, done(strings.Repeat("x", 50_000))))
 	}
-	heir.Adopt(start, sent(t, owner.Seal(start)))
-	require.Equal(t, ledger.Outcome{State: ledger.Done, Dropped: true}, heir.Void(start, tickets[0]))
-	require.Equal(t, done(strings.Repeat("x", 50_000)), heir.Void(start, tickets[39]))
+	successor.Adopt(start, sent(t, owner.Seal(start)))
+	require.Equal(t, ledger.Outcome{State: ledger.Done, Dropped: true}, successor.Void(start, tickets[0]))
+	require.Equal(t, done(strings.Repeat("x", 50_000)), successor.Void(start, tickets[39]))
 	many := newLedger("e4")
 	for range 10_000 {
 		run(many, ledger.Outcome{State: ledger.Unknown})
@@ -171,17 +171,17 @@
 	require.Equal(t, ledger.Unknown, other.Void(start, many.Issue(start, "order-desk", "", validity)).State)
 }
 
-// Guards against "not run" from an heir for a request whose record the issuer
+// Guards against "not run" from a successor for a request whose record the issuer
 // had dropped before the hand-over.
 func TestHandoverAfterExpire(t *testing.T) {
-	owner, heir := newLedger("e1"), newLedger("e2")
+	owner, successor := newLedger("e1"), newLedger("e2")
 	ran := run(owner, done("answer"))
 	due := ran.Deadline.Add(margin)
 	unseen := owner.Issue(due, "order-desk", "", validity)
 	owner.Expire(due)
-	heir.Adopt(start, sent(t, owner.Seal(due)))
-	require.Equal(t, ledger.Unknown, heir.Void(start, ran).State)
-	require.Equal(t, ledger.Void, heir.Void(start, unseen).State)
+	successor.Adopt(start, sent(t, owner.Seal(due)))
+	require.Equal(t, ledger.Unknown, successor.Void(start, ran).State)
+	require.Equal(t, ledger.Void, successor.Void(start, unseen).State)
 }
 
 // Guards against the answer of a home-bound call that a handover takes to another region.
@@ -193,12 +193,12 @@
 		l.Begin(100, tt, "r")
 		l.Finish(100, tt.Sequence, ledger.Outcome{State: ledger.Done, Answer: ledger.Answer{Status: 200, Body: []byte("secret")}})
 	}
-	heir := ledger.New(ledger.Config{Entry: "b", Incarnation: 2, Margin: 1000, Answers: 1 << 20})
-	heir.Adopt(50, l.Seal(200))
-	got, ok := heir.Answer(50, free)
+	successor := ledger.New(ledger.Config{Entry: "b", Incarnation: 2, Margin: 1000, Answers: 1 << 20})
+	successor.Adopt(50, l.Seal(200))
+	got, ok := successor.Answer(50, free)
 	require.True(t, ok)
 	require.Equal(t, "secret", string(got.Answer.Body))
-	got, ok = heir.Answer(50, bound)
+	got, ok = successor.Answer(50, bound)
 	require.True(t, ok)
 	require.Equal(t, ledger.Outcome{State: ledger.Done, Dropped: true}, got)
 }
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -22,7 +22,7 @@
 	notRun   bool // somebody was told that the request was not run
 }
 
-// model drives one issuer and two heirs whose clocks differ.
+// model drives one issuer and two successors whose clocks differ.
 type model struct {
 	now     clock.Time
 	ledgers [3]*ledger.Ledger
@@ -106,8 +106,8 @@
 	require.True(t, !lasting || o.State == ledger.Done, "outcome lost: %v", o)
 }
 
-func (m *model) askHeir(t *rapid.T) {
-	f, i := m.pick(t), rapid.IntRange(1, 2).Draw(t, "heir")
+func (m *model) askSuccessor(t *rapid.T) {
+	f, i := m.pick(t), rapid.IntRange(1, 2).Draw(t, "successor")
 	require.Equal(t, ledger.Foreign, m.ledgers[i].Begin(m.at(i), f.Ticket, "r").Kind)
 	o, ok := m.ledgers[i].Answer(m.at(i), f.Ticket)
 	if !ok {
@@ -116,7 +116,7 @@
 	require.True(t, m.adopted[i])
 	m.told(t, f, o)
 	unseen := f.runs == 0 && m.now < f.Deadline
-	require.True(t, !unseen || o.State == ledger.Void, "unseen ticket is %v at the heir", o)
+	require.True(t, !unseen || o.State == ledger.Void, "unseen ticket is %v at the successor", o)
 }
 
 // handOver passes a sealed ledger on; what is sent may arrive late.
@@ -145,7 +145,7 @@
 		pass := func(t *rapid.T) { m.now = m.now.Add(clock.Span(rapid.IntRange(1, 15).Draw(t, "span"))) }
 		rt.Repeat(map[string]func(*rapid.T){
 			"issue": m.issue, "issue again": m.issue, "begin": m.begin, "re-send": m.begin, "finish": m.finish,
-			"void": m.void, "hand over": m.handOver, "ask heir": m.askHeir, "expire": m.expire, "pass": pass,
+			"void": m.void, "hand over": m.handOver, "ask successor": m.askSuccessor, "expire": m.expire, "pass": pass,
 		})
 	})
 }
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -93,8 +93,8 @@
 }
 
 func (t *Table) merge(now clock.Time, m news.Member) bool {
-	inherited := m.State == news.Left && m.Heir != "" &&
-		t.heirs.learn(now, life{m.Entry, m.Incarnation}, m.Heir)
+	inherited := m.State == news.Left && m.Successor != "" &&
+		t.successors.learn(now, life{m.Entry, m.Incarnation}, m.Successor)
 	r := t.records[m.Entry]
 	switch {
 	case r == nil && len(t.order) >= maxRecords:
@@ -109,7 +109,7 @@
 	}
 	t.replace(r, m)
 	// Records that the list lacks are not passed on, so that removed members
-	// do not circulate for ever; a new heir is passed on once.
+	// do not circulate for ever; a new successor is passed on once.
 	if r.listed || inherited {
 		t.spread(m)
 	}
--- a/member/table.go
+++ b/member/table.go
@@ -58,12 +58,12 @@
 
 // Table is the membership as seen by one process. It is not safe for concurrent use.
 type Table struct {
-	c       Config
-	self    news.Member
-	random  *rand.Rand
-	records map[ident.Entry]*record
-	order   []*record // by name
-	heirs   heirs
+	c          Config
+	self       news.Member
+	random     *rand.Rand
+	records    map[ident.Entry]*record
+	order      []*record // by name
+	successors successors
 
 	ticked  clock.Time // time of the last tick, for detecting pauses
 	active  clock.Time // sum of tick lengths, each at most a period
@@ -111,12 +111,12 @@
 	c.Pause = orDefault(c.Pause, DefaultPause)
 	c.Alone = orDefault(c.Alone, DefaultAlone)
 	t := &Table{
-		c:       c,
-		self:    c.Self,
-		random:  rand.New(rand.NewPCG(c.Seed, uint64(c.Self.Incarnation))),
-		records: make(map[ident.Entry]*record),
-		heirs:   make(heirs),
-		life:    1,
+		c:          c,
+		self:       c.Self,
+		random:     rand.New(rand.NewPCG(c.Seed, uint64(c.Self.Incarnation))),
+		records:    make(map[ident.Entry]*record),
+		successors: make(successors),
+		life:       1,
 		// Numbers of two incarnations differ, so that a late answer to an
 		// earlier process is not taken for one to this process.
 		seq: uint64(c.Self.Incarnation) << 20,
@@ -164,7 +164,7 @@
 	}
 	clear(t.order[len(kept):])
 	t.order = kept
-	t.heirs.expire(now)
+	t.successors.expire(now)
 }
 
 func (t *Table) seed(i watch.Instance) {
@@ -259,27 +259,27 @@
 }
 
 // Leave announces that the process has left, and which entry answers for its
-// tickets. The heir is empty if no peer took them over.
-func (t *Table) Leave(now clock.Time, heir ident.Entry) {
+// tickets. The successor is empty if no peer took them over.
+func (t *Table) Leave(now clock.Time, successor ident.Entry) {
 	t.notice(now)
 	t.self.State = news.Left
-	t.self.Heir = heir
+	t.self.Successor = successor
 	t.self.Generation++
 }
 
-// Heir returns the entry that answers for the tickets of the given incarnation.
-func (t *Table) Heir(e ident.Entry, i ident.Incarnation) (ident.Entry, bool) {
-	heir, ok := t.heirs.find(e, i)
+// Successor returns the entry that answers for the tickets of the given incarnation.
+func (t *Table) Successor(e ident.Entry, i ident.Incarnation) (ident.Entry, bool) {
+	successor, ok := t.successors.find(e, i)
 	if !ok {
 		return "", false
 	}
-	// An heir may have left as well. The bound guards against a cycle of wrong records.
+	// A successor may have left as well. The bound guards against a cycle of wrong records.
 	for range maxHops {
-		r := t.records[heir]
-		if r == nil || r.State != news.Left || r.Heir == "" {
+		r := t.records[successor]
+		if r == nil || r.State != news.Left || r.Successor == "" {
 			break
 		}
-		heir = r.Heir
+		successor = r.Successor
 	}
-	return heir, true
+	return successor, true
 }
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -161,7 +161,7 @@
 	}
 }
 
-// Guards against a leaving entry that is still named, and against an heir that
+// Guards against a leaving entry that is still named, and against a successor that
 // nobody knows.
 func TestLeave(t *testing.T) {
 	w := newNetwork(4, 3, 1)
@@ -175,13 +175,13 @@
 	w.run(10 * clock.Second)
 	for i := 1; i < 4; i++ {
 		require.Equal(t, news.Left, w.state(i, 0))
-		heir, ok := w.table(i).Heir(w.names[0], 1)
+		successor, ok := w.table(i).Successor(w.names[0], 1)
 		require.True(t, ok)
-		require.Equal(t, w.names[2], heir)
+		require.Equal(t, w.names[2], successor)
 		w.table(i).Sync(w.now, w.list[1:])
-		_, ok = w.table(i).Heir(w.names[0], 1)
-		require.True(t, ok, "the heir outlives the member")
-		_, ok = w.table(i).Heir(w.names[0], 2)
+		_, ok = w.table(i).Successor(w.names[0], 1)
+		require.True(t, ok, "the successor outlives the member")
+		_, ok = w.table(i).Successor(w.names[0], 2)
 		require.False(t, ok)
 	}
 }
--- a/news/news.go
+++ b/news/news.go
@@ -30,8 +30,8 @@
 	State      State        `msgpack:"state"`
 	Region     ident.Region `msgpack:"region"`
 	Zone       ident.Zone   `msgpack:"zone"`
-	// Heir is the entry that answers for this incarnation's tickets after a handover.
-	Heir ident.Entry `msgpack:"heir,omitempty"`
+	// Successor is the entry that answers for this incarnation's tickets after a handover.
+	Successor ident.Entry `msgpack:"successor,omitempty"`
 }
 
 // Digest is the SHA-256 of a signed bundle's body.
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -23,8 +23,8 @@
 	Invalid Kind = "invalid"
 	// Unreachable: the other entry did not answer.
 	Unreachable Kind = "unreachable"
-	// Orphaned: no peer took the ledger over.
-	Orphaned Kind = "orphaned"
+	// NoSuccessor: no peer took the ledger over.
+	NoSuccessor Kind = "no successor"
 	// Refused: this entry does not take a ledger, since it is leaving itself.
 	Refused Kind = "refused"
 )
@@ -88,7 +88,7 @@
 	Bundle []byte `msgpack:"bundle"`
 }
 
-// hand carries the sender's last record too, so that the heir is known even if the
+// hand carries the sender's last record too, so that the successor is known even if the
 // sender dies before it can announce it.
 type hand struct {
 	Handover ledger.Handover `msgpack:"handover"`
--- a/peer/leave.go
+++ b/peer/leave.go
@@ -44,8 +44,8 @@
 func (n *Node) answers(t ticket.Ticket) ident.Entry {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if heir, ok := n.table.Heir(t.Entry, t.Incarnation); ok {
-		return heir
+	if successor, ok := n.table.Successor(t.Entry, t.Incarnation); ok {
+		return successor
 	}
 	return t.Entry
 }
@@ -79,11 +79,11 @@
 
 // Leave hands the sealed ledger to one live peer, of the same region if possible, and
 // tells all live peers that this entry has left and who answers for its tickets. It
-// returns an error of kind Orphaned if no peer took the ledger; the peers are told anyway.
+// returns an error of kind NoSuccessor if no peer took the ledger; the peers are told anyway.
 func (n *Node) Leave(ctx context.Context, h ledger.Handover) error {
-	heir, err := n.bequeath(ctx, h)
+	successor, err := n.transfer(ctx, h)
 	n.mu.Lock()
-	n.table.Leave(n.now(), heir)
+	n.table.Leave(n.now(), successor)
 	n.mu.Unlock()
 	// The attempts to hand over may have used up the caller's time.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceTime)
@@ -92,8 +92,8 @@
 	return err
 }
 
-func (n *Node) bequeath(ctx context.Context, h ledger.Handover) (ident.Entry, error) {
-	err := fault.Newf("leave", Orphaned, "no live peer")
+func (n *Node) transfer(ctx context.Context, h ledger.Handover) (ident.Entry, error) {
+	err := fault.Newf("leave", NoSuccessor, "no live peer")
 	for _, m := range n.candidates() {
 		if ctx.Err() != nil {
 			break
@@ -103,7 +103,7 @@
 			return m.Entry, nil
 		}
 		n.c.Log.Warn("handover", zap.String("to", string(m.Entry)), zap.Error(failure))
-		err = fault.Wrap("leave", Orphaned, failure)
+		err = fault.Wrap("leave", NoSuccessor, failure)
 	}
 	return "", err
 }
@@ -133,7 +133,7 @@
 	n.mu.Lock()
 	last := n.table.Self()
 	n.mu.Unlock()
-	last.State, last.Heir = news.Left, to
+	last.State, last.Successor = news.Left, to
 	last.Generation++
 	ctx, cancel := context.WithTimeout(ctx, handTime)
 	defer cancel()
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -254,7 +254,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
 	err := f.nodes[0].Leave(ctx, f.cores[0].ledger.Seal(1))
-	require.Equal(t, peer.Orphaned, fault.KindOf[peer.Kind](err))
+	require.Equal(t, peer.NoSuccessor, fault.KindOf[peer.Kind](err))
 	require.False(t, f.nodes[0].Ready())
 }
 
@@ -272,7 +272,7 @@
 }
 
 // Guards against a process with another secret that gets news or counts as a peer.
-func TestStrangerIsNoPeer(t *testing.T) {
+func TestUnauthenticatedIsNoPeer(t *testing.T) {
 	f := start(t, wire.Secrets{Current: []byte("the secret of another fleet")})
 	f.cores[0].Offer([]byte{9, 9})
 	for _, n := range f.nodes[1:] {
--- a/watch/fetch.go
+++ b/watch/fetch.go
@@ -113,31 +113,31 @@
 	return req, nil
 }
 
-// pacer spreads the calls of many entries.
-type pacer struct {
+// backoff spreads the calls of many entries.
+type backoff struct {
 	random   *rand.Rand
 	failures int
 }
 
-func newPacer(seed uint64) *pacer {
-	return &pacer{random: rand.New(rand.NewPCG(seed, 0x7461_6e61))} //nolint:gosec // jitter is no secret
+func newBackoff(seed uint64) *backoff {
+	return &backoff{random: rand.New(rand.NewPCG(seed, 0x7461_6e61))} //nolint:gosec // jitter is no secret
 }
 
 // jitter returns a random span between 3/4 and 5/4 of s.
-func (p *pacer) jitter(s clock.Span) clock.Span {
+func (p *backoff) jitter(s clock.Span) clock.Span {
 	return s*3/4 + clock.Span(p.random.Int64N(int64(s/2)+1))
 }
 
 // failed returns the wait after another failed call: it doubles with each
 // failure in a row, and is at least what the platform asked for.
-func (p *pacer) failed(least clock.Span) clock.Span {
+func (p *backoff) failed(least clock.Span) clock.Span {
 	wait := min(firstRetry<<min(p.failures, 16), lastRetry)
 	p.failures++
 	// The upper half is random, so that entries that failed together come back apart.
 	return max(least, 0) + wait/2 + clock.Span(p.random.Int64N(int64(wait/2)+1))
 }
 
-func (p *pacer) succeeded() { p.failures = 0 }
+func (p *backoff) succeeded() { p.failures = 0 }
 
 // sleep waits for s or until ctx is cancelled, and reports whether s has passed.
 func sleep(ctx context.Context, s clock.Span) bool {
--- a/watch/list.go
+++ b/watch/list.go
@@ -40,11 +40,11 @@
 
 // List reads the platform's list of instances.
 type List struct {
-	config ListConfig
-	client *http.Client
-	pacer  *pacer
-	tag    string // ETag of the last list, if the platform gives one
-	filled bool   // a list with instances was found
+	config  ListConfig
+	client  *http.Client
+	backoff *backoff
+	tag     string // ETag of the last list, if the platform gives one
+	filled  bool   // a list with instances was found
 }
 
 // NewList returns a List that makes no call before Run.
@@ -52,7 +52,7 @@
 	if c.Period <= 0 {
 		c.Period = listPeriod
 	}
-	return &List{config: c, client: newClient(c.Client), pacer: newPacer(c.Seed)}
+	return &List{config: c, client: newClient(c.Client), backoff: newBackoff(c.Seed)}
 }
 
 // Run calls found with each list until ctx is cancelled, and returns the error
@@ -66,15 +66,15 @@
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
-			l.pacer.succeeded()
-			sleep(ctx, l.pacer.jitter(l.period()))
+			l.backoff.succeeded()
+			sleep(ctx, l.backoff.jitter(l.period()))
 		case fault.KindOf[Kind](err) == KindConfig:
 			return err
 		default:
 			if l.config.Failed != nil {
 				l.config.Failed(err)
 			}
-			sleep(ctx, l.pacer.failed(least))
+			sleep(ctx, l.backoff.failed(least))
 		}
 	}
 	return ctx.Err()
--- a/watch/values.go
+++ b/watch/values.go
@@ -58,7 +58,7 @@
 type Values struct {
 	config   ValuesConfig
 	client   *http.Client
-	pacer    *pacer
+	backoff  *backoff
 	revision string // of the last value found
 	quick    int    // quick polls in a row
 }
@@ -71,7 +71,7 @@
 	if c.Wait <= 0 {
 		c.Wait = defaultWait
 	}
-	return &Values{config: c, client: newClient(c.Client), pacer: newPacer(c.Seed)}
+	return &Values{config: c, client: newClient(c.Client), backoff: newBackoff(c.Seed)}
 }
 
 // Run calls found with each new revision of the value until ctx is cancelled,
@@ -85,7 +85,7 @@
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
-			v.pacer.succeeded()
+			v.backoff.succeeded()
 			v.rest(ctx, watching)
 		case fault.KindOf[Kind](err) == KindConfig:
 			return err
@@ -146,7 +146,7 @@
 // rest waits after a successful call until the next one is due.
 func (v *Values) rest(ctx context.Context, watching bool) {
 	if watching {
-		sleep(ctx, v.pacer.jitter(watchPause))
+		sleep(ctx, v.backoff.jitter(watchPause))
 		return
 	}
 	v.idle(ctx)
@@ -155,7 +155,7 @@
 // recover waits after a failed call. A reader that has a value and does not
 // watch takes its usual time, which spares a platform in trouble.
 func (v *Values) recover(ctx context.Context, watching bool, least clock.Span) {
-	wait := v.pacer.failed(least)
+	wait := v.backoff.failed(least)
 	if !watching && v.revision != "" {
 		v.idle(ctx)
 		return
@@ -166,7 +166,7 @@
 // idle waits until the next poll of a reader that does not watch. It ends early
 // when the reader becomes a watcher.
 func (v *Values) idle(ctx context.Context) {
-	usual := v.pacer.jitter(v.config.Period)
+	usual := v.backoff.jitter(v.config.Period)
 	pause := min(step, max(v.config.Period/quickShare/2, 1))
 	start := time.Now()
 	for sleep(ctx, pause) {
--- a/wire/client.go
+++ b/wire/client.go
@@ -187,9 +187,9 @@
 	secure := tls.Client(raw, c.tls)
 	if err := secure.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
-		var stranger *Error
-		if errors.As(err, &stranger) {
-			return nil, fault.Wrap("dial", Stranger, err)
+		var own *Error
+		if errors.As(err, &own) {
+			return nil, fault.Wrap("dial", Unauthenticated, err)
 		}
 		return nil, fault.Wrap("dial", Unreachable, err)
 	}
--- a/wire/error.go
+++ b/wire/error.go
@@ -12,8 +12,8 @@
 const (
 	// Secret: the fleet secret is unusable.
 	Secret Kind = "secret"
-	// Stranger: the other side does not have the fleet's key.
-	Stranger Kind = "stranger"
+	// Unauthenticated: the other side does not have the fleet's key.
+	Unauthenticated Kind = "unauthenticated"
 	// Unreachable: no connection could be made; nothing was sent.
 	Unreachable Kind = "unreachable"
 	// Closed: the connection ended before the answer came.
--- a/wire/identity.go
+++ b/wire/identity.go
@@ -90,18 +90,18 @@
 // already shown that it holds the private key.
 func (k *keys) verify(s tls.ConnectionState) error {
 	if len(s.PeerCertificates) == 0 {
-		return fault.New("verify", Stranger)
+		return fault.New("verify", Unauthenticated)
 	}
 	public, ok := s.PeerCertificates[0].PublicKey.(ed25519.PublicKey)
 	if !ok {
-		return fault.New("verify", Stranger)
+		return fault.New("verify", Unauthenticated)
 	}
 	for _, c := range k.certificates {
 		if public.Equal(c.Leaf.PublicKey) {
 			return nil
 		}
 	}
-	return fault.New("verify", Stranger)
+	return fault.New("verify", Unauthenticated)
 }
 
 // server presents the key that the client names, so that processes with the old and
--- a/wire/server.go
+++ b/wire/server.go
@@ -19,7 +19,7 @@
 	// maxConnections bounds the memory for connections of one server: at the scale
 	// target a node has about 50.
 	maxConnections = 512
-	// maxHandshakes bounds the handshakes in progress, which strangers can cause.
+	// maxHandshakes bounds the handshakes in progress, which unauthenticated peers can cause.
 	maxHandshakes = 64
 
 	handshakeTime = 5 * time.Second
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -122,7 +122,7 @@
 		for c, secrets := range stages {
 			_, err := call(t, client(t, wire.ClientConfig{Secrets: secrets}), n.address, "echo", "x")
 			if s != c && s != "rolling" && c != "rolling" {
-				require.Equal(t, wire.Stranger, fault.KindOf[wire.Kind](err), "%s to %s", c, s)
+				require.Equal(t, wire.Unauthenticated, fault.KindOf[wire.Kind](err), "%s to %s", c, s)
 			} else {
 				require.NoError(t, err, "%s to %s", c, s)
 			}
@@ -145,10 +145,10 @@
 	require.False(tb, errors.As(err, &timeout) && timeout.Timeout(), "the connection stays open")
 }
 
-// Guards against strangers that get a connection or an answer.
-func TestStrangers(t *testing.T) {
+// Guards against unauthenticated peers that get a connection or an answer.
+func TestUnauthenticatedPeers(t *testing.T) {
 	n := serve(t, current(newSecret))
-	stranger, err := wire.Identity(oldSecret)
+	foreign, err := wire.Identity(oldSecret)
 	require.NoError(t, err)
 	cases := map[string]func() (net.Conn, error){
 		"plain": func() (net.Conn, error) {
@@ -164,7 +164,7 @@
 		"other key": func() (net.Conn, error) {
 			return tls.Dial("tcp", n.address, &tls.Config{
 				InsecureSkipVerify:   true,
-				GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &stranger, nil },
+				GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &foreign, nil },
 			})
 		},
 	}
