fix(fakes): flush before a stream is broken

The stand-in aborted the connection with tokens that were due at once still in its buffer, so the number of events that arrived depended on timing. Change: the response is flushed before the connection is aborted.

--- a/fakes/enginehttp.go
+++ b/fakes/enginehttp.go
@@ -162,12 +162,12 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(headerRequest, string(j.request))
 	w.WriteHeader(http.StatusOK)
-	out := &eventWriter{w: w, job: j, sent: after, spoil: e.takeFault()}
-	flusher, _ := w.(http.Flusher)
+	flush := func() { _ = http.NewResponseController(w).Flush() }
+	out := &eventWriter{w: w, job: j, sent: after, spoil: e.takeFault(), flush: flush}
 	for {
 		tokens, done, changed := j.progress()
 		end := out.upTo(tokens, done)
-		flusher.Flush()
+		flush()
 		if end {
 			return
 		}
--- a/fakes/events.go
+++ b/fakes/events.go
@@ -30,6 +30,7 @@
 	job   *job
 	sent  int
 	spoil spoil
+	flush func()
 }
 
 // upTo sends the events up to the given one, and the final marker if done. It
@@ -41,7 +42,7 @@
 			return true
 		}
 		if o.sent >= half && o.spoil == spoilBreak {
-			panic(http.ErrAbortHandler)
+			o.abort()
 		}
 		o.sent++
 		o.event()
@@ -50,7 +51,7 @@
 		}
 	}
 	if done && o.spoil == spoilBreak {
-		panic(http.ErrAbortHandler)
+		o.abort()
 	}
 	if done && o.spoil != spoilTruncate {
 		_, _ = io.WriteString(o.w, "data: [DONE]\n\n")
@@ -58,6 +59,13 @@
 	return done
 }
 
+// abort breaks the connection after what was written has left; without the flush, the
+// number of events that arrive would depend on how many tokens were due at once.
+func (o *eventWriter) abort() {
+	o.flush()
+	panic(http.ErrAbortHandler)
+}
+
 func (o *eventWriter) event() {
 	request, hash := o.job.request, o.job.hash
 	if o.spoil == spoilCross && o.sent > crossAfter {
