refactor(route): name constants for what they bound and share a loop

Cause: a newcomer met names such as burden, worth, squeeze, resort, detour, sluggish and relief, and the plain policies had the same loop over regions twice. Change: relativeLoad, effectiveSlots, overcommit, fallback, slowWaitFactor, slowWeight, stopRatio and the like; firstRegion serves random, robin, least and single. No decision changes. Result: go test ./route passes (table tests and properties), lint is clean.

--- a/route/away.go
+++ b/route/away.go
@@ -10,24 +10,24 @@
 )
 
 const (
-	// trip is the round trip between two regions of the deployments.
-	trip = 110 * clock.Millisecond
-	// transfer is the speed in bytes/ms of the thinnest link, 100 Mbit/s.
-	transfer = 12500
-	// stale is the age from which a summary of another region is not relied on.
-	stale = 5 * clock.Second
-	// least and most bound the weight of the share sent away.
-	least = 0.25
-	most  = 4.0
-	// relief is the stop threshold relative to the start threshold.
-	relief = 0.8
-	// patient is the part of its target for which long work waits at least before it
+	// roundTrip is the round trip between two regions of the deployments.
+	roundTrip = 110 * clock.Millisecond
+	// linkSpeed is the speed in bytes/ms of the thinnest link, 100 Mbit/s.
+	linkSpeed = 12500
+	// maxHintAge is the age from which a summary of another region is not relied on.
+	maxHintAge = 5 * clock.Second
+	// minWeight and maxWeight bound the weight of the share sent away.
+	minWeight = 0.25
+	maxWeight = 4.0
+	// stopRatio is the stop threshold relative to the start threshold.
+	stopRatio = 0.8
+	// longStart is the part of its target for which long work waits at least before it
 	// is sent away, to which a quarter of the weight of the share sent away is added.
-	patient = 0.75
-	// guess is the duration of a request as long as none is known.
-	guess = clock.Second
-	// blend is the weight of a new sample in the means of sizes and kinds.
-	blend = 0.05
+	longStart = 0.75
+	// defaultDuration is the duration of a request as long as none is known.
+	defaultDuration = clock.Second
+	// sampleWeight is the weight of a new sample in the means of sizes and kinds.
+	sampleWeight = 0.05
 )
 
 // flow is the work of one service that is or is not long.
@@ -64,7 +64,7 @@
 	if _, ok := w.urgent[a.Service]; !ok {
 		w.urgent[a.Service] = 1
 	}
-	w.urgent[a.Service] += (u - w.urgent[a.Service]) * blend
+	w.urgent[a.Service] += (u - w.urgent[a.Service]) * sampleWeight
 }
 
 // mixed reports whether at least about 2 in 100 of a service's requests are long.
@@ -77,7 +77,7 @@
 func (w *away) sent(now clock.Time, p place) {
 	kept := w.sends[p][:0]
 	for _, t := range w.sends[p] {
-		if now.Sub(t) < stale+trip {
+		if now.Sub(t) < maxHintAge+roundTrip {
 			kept = append(kept, t)
 		}
 	}
@@ -90,7 +90,7 @@
 func (w *away) expect(a *Ask, m room, found []fleet.Candidate) clock.Span {
 	slots := 0.0
 	for i := range found {
-		slots += worth(&found[i])
+		slots += effectiveSlots(&found[i])
 	}
 	turnover := w.duration(a, found) / max(0.1, slots*m.share)
 	return a.Waited + clock.Span(math.Ceil(turnover))
@@ -104,7 +104,7 @@
 	if a.Size > 0 {
 		return float64(a.Size)
 	}
-	return float64(guess)
+	return float64(defaultDuration)
 }
 
 // passes reports whether a wait is long enough to send a away at a cost, and keeps
@@ -127,14 +127,14 @@
 // frees little capacity, goes only far beyond its target, when long work that was
 // sent away did not help.
 func thresholds(a *Ask, weight float64, cost clock.Span) (begin, end clock.Span) {
-	factor := min(max(weight, least), most)
+	factor := min(max(weight, minWeight), maxWeight)
 	limit := factor * float64(cost)
 	if a.Long {
-		limit = max(limit, float64(a.First)*(patient+factor/4))
-		return clock.Span(limit), clock.Span(limit * relief)
+		limit = max(limit, float64(a.First)*(longStart+factor/4))
+		return clock.Span(limit), clock.Span(limit * stopRatio)
 	}
 	limit = max(limit, float64(a.First)*(1+factor))
-	return clock.Span(limit), clock.Span(limit * relief)
+	return clock.Span(limit), clock.Span(limit * stopRatio)
 }
 
 // spare returns how many requests of a's class a region can take beyond what this
@@ -143,7 +143,7 @@
 	made := now.Add(-l.Age)
 	free := l.Free
 	for _, t := range w.sends[place{a.Service, l.Region}] {
-		if t.Add(trip / 2).After(made) {
+		if t.Add(roundTrip / 2).After(made) {
 			free--
 		}
 	}
@@ -179,7 +179,7 @@
 		return news.Load{}, false
 	}
 	l, ok := v.Remote(a.Service, r)
-	if !ok || l.Age > stale {
+	if !ok || l.Age > maxHintAge {
 		return news.Load{}, false
 	}
 	l.Region = r
@@ -188,7 +188,7 @@
 
 // cost returns the time that the way to another region and the wait there take.
 func cost(a *Ask, wait clock.Span) clock.Span {
-	return wait + trip + clock.Span(a.Bytes/transfer)
+	return wait + roundTrip + clock.Span(a.Bytes/linkSpeed)
 }
 
 // remote picks an endpoint in region r.
@@ -229,5 +229,5 @@
 // there: the region has told lately that there was none, and the request is not late.
 func (t *tanager) full(a *Ask, v View, r ident.Region) bool {
 	l, ok := v.Remote(a.Service, r)
-	return ok && l.Age <= stale && a.Waited < a.First/2
+	return ok && l.Age <= maxHintAge && a.Waited < a.First/2
 }
--- a/route/pick.go
+++ b/route/pick.go
@@ -97,7 +97,7 @@
 		}
 		found := v.Candidates(a.Service, r)
 		i := emptiest(a, found, avoid)
-		if i < 0 || !empty(&found[i]) || crowded(found) {
+		if i < 0 || !empty(&found[i]) || tooManyAlone(found) {
 			return false
 		}
 		delete(p.holds, place{a.Service, r})
@@ -120,7 +120,7 @@
 		if i < 0 {
 			return false
 		}
-		if crowded(found) {
+		if tooManyAlone(found) {
 			return true
 		}
 		at := place{a.Service, r}
@@ -134,9 +134,9 @@
 	})
 }
 
-// crowded reports whether as many suspects run in a region as may: at most on a third
+// tooManyAlone reports whether as many suspects run in a region as may: at most on a third
 // of the endpoints, and at least on one.
-func crowded(found []fleet.Candidate) bool {
+func tooManyAlone(found []fleet.Candidate) bool {
 	running := 0
 	for i := range found {
 		if found[i].Alone {
--- a/route/plain.go
+++ b/route/plain.go
@@ -33,21 +33,9 @@
 	if a.Alone {
 		return p.picker.alone(now, &a, v)
 	}
-	avoid := avoids(&a, v)
-	var choice Choice
-	ok := false
-	regions(&a, v, func(r ident.Region) bool {
-		found := v.Candidates(a.Service, r)
-		usable := p.picker.filter(now, &a, r, found, avoid)
-		if len(usable) == 0 {
-			return false
-		}
-		i := p.pick(place{a.Service, r}, found, usable)
-		choice = Choice{Endpoint: found[i].Endpoint, Region: r, Away: r != v.Region()}
-		ok = true
-		return true
+	return p.picker.firstRegion(now, &a, v, func(r ident.Region, found []fleet.Candidate, usable []int) int {
+		return p.pick(place{a.Service, r}, found, usable)
 	})
-	return choice, ok
 }
 
 // pickRandom picks any candidate with equal probability.
@@ -109,22 +97,33 @@
 	if a.Alone {
 		return s.picker.alone(now, &a, v)
 	}
-	avoid := avoids(&a, v)
+	return s.picker.firstRegion(now, &a, v, func(_ ident.Region, found []fleet.Candidate, usable []int) int {
+		open := s.picker.free(found, usable)
+		if len(open) == 0 {
+			return -1
+		}
+		return open[s.picker.random.IntN(len(open))]
+	})
+}
+
+// firstRegion lets pick take a candidate in the first region that has a usable one.
+// pick returns an index, or -1 if the request has to wait there.
+func (p *picker) firstRegion(
+	now clock.Time, a *Ask, v View, pick func(r ident.Region, found []fleet.Candidate, usable []int) int,
+) (Choice, bool) {
+	avoid := avoids(a, v)
 	var choice Choice
 	ok := false
-	regions(&a, v, func(r ident.Region) bool {
+	regions(a, v, func(r ident.Region) bool {
 		found := v.Candidates(a.Service, r)
-		usable := s.picker.filter(now, &a, r, found, avoid)
+		usable := p.filter(now, a, r, found, avoid)
 		if len(usable) == 0 {
 			return false
 		}
-		open := s.picker.free(found, usable)
-		if len(open) == 0 {
-			return true
+		if i := pick(r, found, usable); i >= 0 {
+			choice = Choice{Endpoint: found[i].Endpoint, Region: r, Away: r != v.Region()}
+			ok = true
 		}
-		i := open[s.picker.random.IntN(len(open))]
-		choice = Choice{Endpoint: found[i].Endpoint, Region: r, Away: r != v.Region()}
-		ok = true
 		return true
 	})
 	return choice, ok
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -13,8 +13,8 @@
 // -1 if that has no slot or too much load. Endpoints are ranked by rendezvous hash, so
 // that entries agree without talking and few prefixes move when an endpoint goes.
 func affine(p ident.Prefix, m room, found []fleet.Candidate, usable, open []int) int {
-	top := [ranks]int{-1, -1}
-	var scores [ranks]uint64
+	top := [affinityRanks]int{-1, -1}
+	var scores [affinityRanks]uint64
 	for _, i := range usable {
 		if slow(&found[i]) {
 			continue
@@ -39,7 +39,7 @@
 // balanced reports whether the load of c is within the bound for prefix affinity.
 func (m *room) balanced(c *fleet.Candidate) bool {
 	average := m.load / m.slots * float64(c.Slots)
-	return c.Load <= surplus*average+1
+	return c.Load <= affinityBound*average+1
 }
 
 // score returns the rendezvous hash of a prefix and an endpoint.
--- a/route/room.go
+++ b/route/room.go
@@ -8,14 +8,14 @@
 )
 
 const (
-	// rise and fall are the time constants of the mean demand of urgent work. Slots
+	// riseTime and fallTime are the time constants of the mean demand of urgent work. Slots
 	// given to long work come back only after seconds, so that a rise has to be followed
 	// sooner than a fall.
-	rise = clock.Second / 2
-	fall = 2 * clock.Second
-	// assured is the share of a region's slots that long work may hold whatever the
+	riseTime = clock.Second / 2
+	fallTime = 2 * clock.Second
+	// longFloor is the share of a region's slots that long work may hold whatever the
 	// demand of urgent work is.
-	assured = 0.25
+	longFloor = 0.25
 )
 
 // room is the part of a region's slots that an ask may use.
@@ -51,7 +51,7 @@
 	if m.kept == 0 {
 		return most
 	}
-	return max(min(most, math.Floor(m.slots-m.kept)), quota(assured, m.slots))
+	return max(min(most, math.Floor(m.slots-m.kept)), quota(longFloor, m.slots))
 }
 
 // fits reports whether c has a slot for work of the class that m was made for.
@@ -82,9 +82,9 @@
 		d[p] = &demand{mean: x, at: now}
 		return
 	}
-	constant := float64(fall)
+	constant := float64(fallTime)
 	if x > e.mean {
-		constant = float64(rise)
+		constant = float64(riseTime)
 	}
 	passed := max(0, float64(now.Sub(e.at)))
 	e.mean += (x - e.mean) * (1 - math.Exp(-passed/constant))
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -109,7 +109,7 @@
 }
 
 // Guards against long work that takes the slots kept for short work, and short work
-// that waits although it may squeeze in.
+// that waits although an engine may be overcommitted.
 func TestClassShares(t *testing.T) {
 	v := &stub{found: map[ident.Region][]fleet.Candidate{"a": region("a", 3)}, away: 1}
 	v.found["a"][0].Long = 3
@@ -143,7 +143,7 @@
 	}{
 		"just after the demand": {at: 10, long: 1.5},
 		"long after the demand": {at: 20_000, long: 1.5, want: true},
-		"assured":               {at: 10, long: 0.75, want: true},
+		"longFloor":             {at: 10, long: 0.75, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := policy(t, route.Tanager)
--- a/route/tanager.go
+++ b/route/tanager.go
@@ -10,20 +10,20 @@
 )
 
 const (
-	// sluggish is the weight below which an endpoint that is not cold gets only probes
+	// slowWeight is the weight below which an endpoint that is not cold gets only probes
 	// while others have capacity.
-	sluggish = 0.5
-	// detour is how many times its size a request must have waited before it goes to
+	slowWeight = 0.5
+	// slowWaitFactor is how many times its size a request must have waited before it goes to
 	// a slow endpoint. That is what it loses there if the endpoint is 5 times slower.
-	detour = 4
-	// lasting is the assumed rate at which slots of long work become free, relative to
+	slowWaitFactor = 4
+	// longTurnover is the assumed rate at which slots of long work become free, relative to
 	// those of urgent work.
-	lasting = 0.2
-	// surplus is by how much an endpoint's load may exceed the average of its peers for
+	longTurnover = 0.2
+	// affinityBound is by how much an endpoint's load may exceed the average of its peers for
 	// prefix affinity to hold.
-	surplus = 1.25
-	// ranks is how many endpoints, by rendezvous hash, share one prefix.
-	ranks = 2
+	affinityBound = 1.25
+	// affinityRanks is how many endpoints, by rendezvous hash, share one prefix.
+	affinityRanks = 2
 	// shortFirst and longFirst are the defaults of Ask.First.
 	shortFirst = 1600 * clock.Millisecond
 	longFirst  = 8 * clock.Second
@@ -99,7 +99,7 @@
 	}
 	// send filters the candidates of other regions.
 	usable = t.filter(now, a, own, found, avoid)
-	if i := t.resort(a, m, found, usable); i >= 0 {
+	if i := t.fallback(a, m, found, usable); i >= 0 {
 		return at(found, i, own), true
 	}
 	return Choice{}, false
@@ -151,7 +151,7 @@
 }
 
 // slow reports whether c is to get only probes.
-func slow(c *fleet.Candidate) bool { return c.Weight < sluggish && !c.Cold }
+func slow(c *fleet.Candidate) bool { return c.Weight < slowWeight && !c.Cold }
 
 // probe returns the index of a slow endpoint that is due for a probe, or -1.
 // Requests that were tried before or have waited for long are spared, and so is
@@ -196,11 +196,11 @@
 func (t *tanager) better(found []fleet.Candidate, open []int) int {
 	total := 0.0
 	for _, i := range open {
-		total += worth(&found[i])
+		total += effectiveSlots(&found[i])
 	}
 	one := draw(found, open, t.random.Float64()*total)
 	two := draw(found, open, t.random.Float64()*total)
-	if burden(&found[two]) < burden(&found[one]) {
+	if relativeLoad(&found[two]) < relativeLoad(&found[one]) {
 		return two
 	}
 	return one
@@ -209,7 +209,7 @@
 // draw returns the candidate at the point x of the summed weights.
 func draw(found []fleet.Candidate, open []int, x float64) int {
 	for _, i := range open {
-		x -= worth(&found[i])
+		x -= effectiveSlots(&found[i])
 		if x < 0 {
 			return i
 		}
@@ -217,34 +217,34 @@
 	return open[len(open)-1]
 }
 
-// worth returns the slots of c as far as its weight lets it use them.
-func worth(c *fleet.Candidate) float64 { return float64(c.Slots) * c.Weight }
+// effectiveSlots returns the slots of c as far as its weight lets it use them.
+func effectiveSlots(c *fleet.Candidate) float64 { return float64(c.Slots) * c.Weight }
 
-// burden returns the load that c would have for each such slot.
-func burden(c *fleet.Candidate) float64 { return (c.Load + 1) / worth(c) }
+// relativeLoad returns the load that c would have for each such slot.
+func relativeLoad(c *fleet.Candidate) float64 { return (c.Load + 1) / effectiveSlots(c) }
 
-// resort returns the index of the endpoint for a request that neither finds a slot
+// fallback returns the index of the endpoint for a request that neither finds a slot
 // here nor is sent away, or -1: one request more than its slots on an engine that
 // runs long work, which gives way to urgent work, or a slow endpoint.
-func (t *tanager) resort(a *Ask, m room, found []fleet.Candidate, usable []int) int {
-	if i := squeeze(a, m, found, usable); i >= 0 {
+func (t *tanager) fallback(a *Ask, m room, found []fleet.Candidate, usable []int) int {
+	if i := overcommit(a, m, found, usable); i >= 0 {
 		return i
 	}
-	if a.Waited < detour*max(a.Size, clock.Second/detour) {
+	if a.Waited < slowWaitFactor*max(a.Size, clock.Second/slowWaitFactor) {
 		return -1
 	}
 	best := -1
 	for _, i := range usable {
-		if m.fits(&found[i]) && (best < 0 || burden(&found[i]) < burden(&found[best])) {
+		if m.fits(&found[i]) && (best < 0 || relativeLoad(&found[i]) < relativeLoad(&found[best])) {
 			best = i
 		}
 	}
 	return best
 }
 
-// squeeze returns the index of an endpoint that takes urgent work beyond its slots, or
+// overcommit returns the index of an endpoint that takes urgent work beyond its slots, or
 // -1. Of several it takes the one where a slot is likely to become free first.
-func squeeze(a *Ask, m room, found []fleet.Candidate, usable []int) int {
+func overcommit(a *Ask, m room, found []fleet.Candidate, usable []int) int {
 	if m.share < 1 || a.Long || a.Urgency > 0 || a.Waited < a.First/8 {
 		return -1
 	}
@@ -265,5 +265,5 @@
 // there, which holds its slots for a short time, the sooner.
 func turnover(c *fleet.Candidate) float64 {
 	beyond := max(1, c.Load+1-float64(c.Slots))
-	return (c.Load - c.Long + lasting*c.Long) / beyond
+	return (c.Load - c.Long + longTurnover*c.Long) / beyond
 }
