--- a/caller/client.go
+++ b/caller/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
@@ -227,9 +228,7 @@
 }
 
 func (c *Client) headers(h http.Header, s send) {
-	for name, values := range c.config.Header {
-		h[name] = values
-	}
+	maps.Copy(h, c.config.Header)
 	h.Set(HeaderRequest, string(s.request))
 	h.Set(HeaderAttempt, strconv.Itoa(int(s.try)))
 	h.Set(HeaderService, string(c.config.Service))
--- a/cmd/drain.go
+++ b/cmd/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -117,13 +118,14 @@
 	if d.lastErr != nil {
 		return errors.Wrapf(d.lastErr, "the entry has not left, last seen with %d requests in progress", d.last.Requests)
 	}
-	text := fmt.Sprintf("the entry has not left after %s: %d requests in progress", clock.Of(d.c.Duration("timeout")), d.last.Requests)
+	var text strings.Builder
+	fmt.Fprintf(&text, "the entry has not left after %s: %d requests in progress", clock.Of(d.c.Duration("timeout")), d.last.Requests)
 	for _, q := range d.last.Queues {
 		if q.Waiting > 0 {
-			text += fmt.Sprintf(", %d waiting for %s", q.Waiting, q.Service)
+			fmt.Fprintf(&text, ", %d waiting for %s", q.Waiting, q.Service)
 		}
 	}
-	return errors.New(text)
+	return errors.New(text.String())
 }
 
 func (d *drain) say(format string, args ...any) { line(d.c.Root().Writer, format, args...) }
--- a/cmd/settings.go
+++ b/cmd/settings.go
@@ -75,7 +75,7 @@
 // addresses returns the addresses of a flag that lists them with commas.
 func addresses(c *cli.Command, flag string) ([]string, error) {
 	var out []string
-	for _, a := range strings.Split(c.String(flag), ",") {
+	for a := range strings.SplitSeq(c.String(flag), ",") {
 		a = strings.TrimSpace(a)
 		if a == "" {
 			continue
--- a/config/config.go
+++ b/config/config.go
@@ -166,7 +166,7 @@
 	if err := required(flag, value); err != nil {
 		return err
 	}
-	for _, part := range strings.Split(value, ",") {
+	for part := range strings.SplitSeq(value, ",") {
 		id, text, found := strings.Cut(part, "=")
 		if !found || id == "" || text == "" {
 			return fault.Newf("--"+flag, Invalid, "want id=base64, separated by commas")
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -108,9 +109,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	for name, values := range resp.Header {
-		w.Header()[name] = values
-	}
+	maps.Copy(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
 	flush := http.NewResponseController(w)
 	buffer := make([]byte, 32<<10)
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/tanagerbridge/tanagerbridge/caller"
 	"github.com/tanagerbridge/tanagerbridge/core"
@@ -110,9 +111,9 @@
 }
 
 func (x *exchange) find(number ident.Try) *engineTry {
-	for i := len(x.tries) - 1; i >= 0; i-- {
-		if x.tries[i].Try == number {
-			return x.tries[i]
+	for _, t := range slices.Backward(x.tries) {
+		if t.Try == number {
+			return t
 		}
 	}
 	return nil
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -146,7 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
-	messages, err := json.Marshal(append(p.messages[:len(p.messages):len(p.messages)], last))
+	messages, err := json.Marshal(append(slices.Clip(p.messages), last))
 	if err != nil {
 		return nil, err
 	}
@@ -168,11 +170,7 @@
 
 func (p *prompt) with(changes fields) ([]byte, error) {
 	all := make(fields, len(p.fields)+len(changes))
-	for name, value := range p.fields {
-		all[name] = value
-	}
-	for name, value := range changes {
-		all[name] = value
-	}
+	maps.Copy(all, p.fields)
+	maps.Copy(all, changes)
 	return json.Marshal(all)
 }
--- a/entry/secrets.go
+++ b/entry/secrets.go
@@ -13,7 +13,7 @@
 // only help people to tell the secrets apart.
 func parseSecrets(text string) (wire.Secrets, error) {
 	var secrets [][]byte
-	for _, part := range strings.Split(text, ",") {
+	for part := range strings.SplitSeq(text, ",") {
 		_, encoded, _ := strings.Cut(part, "=")
 		secret, err := base64.StdEncoding.DecodeString(encoded)
 		if err != nil {
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -108,19 +108,10 @@
 			live = append(live, m.Entry)
 		}
 	}
-	if !containsEntry(live, s.settings.Name) {
+	if !slices.Contains(live, s.settings.Name) {
 		live = append(live, s.settings.Name)
 	}
-	return containsEntry(watch.Watchers(s.settings.Platform.Value, live, bundleWatchers), s.settings.Name)
-}
-
-func containsEntry(entries []ident.Entry, id ident.Entry) bool {
-	for _, e := range entries {
-		if e == id {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(watch.Watchers(s.settings.Platform.Value, live, bundleWatchers), s.settings.Name)
 }
 
 // offer takes in a signed bundle from the platform or a peer and tells whether it
--- a/fakes/cache.go
+++ b/fakes/cache.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"encoding/binary"
 	"encoding/json"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -52,8 +53,8 @@
 		}
 		cached += c.block
 	}
-	for i := len(hashes) - 1; i >= 0; i-- {
-		c.touch(hashes[i]) // the first block ends up as the most recent one
+	for _, hashe := range slices.Backward(hashes) {
+		c.touch(hashe) // the first block ends up as the most recent one
 	}
 	c.note(head)
 	return cached
--- a/fakes/content.go
+++ b/fakes/content.go
@@ -2,6 +2,7 @@
 
 import (
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -52,8 +53,8 @@
 }
 
 func lengthOf(prompt []Message) int {
-	for i := len(prompt) - 1; i >= 0; i-- {
-		m := lengthPattern.FindStringSubmatch(prompt[i].Content)
+	for _, p := range slices.Backward(prompt) {
+		m := lengthPattern.FindStringSubmatch(p.Content)
 		if m != nil {
 			n, _ := strconv.Atoi(m[1]) // the pattern admits digits only
 			return n
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -250,9 +250,9 @@
 
 // inFlightAt returns the number of own attempts at the time at.
 func (e *endpoint) inFlightAt(at clock.Time) int {
-	for i := len(e.history) - 1; i >= 0; i-- {
-		if !e.history[i].at.After(at) {
-			return e.history[i].count
+	for _, v := range slices.Backward(e.history) {
+		if !v.at.After(at) {
+			return v.count
 		}
 	}
 	if len(e.history) == points {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -179,8 +179,8 @@
 // or have been off it for long.
 func (f *Fleet) sweep(now clock.Time) {
 	for _, g := range f.groups {
-		for i := len(g.endpoints) - 1; i >= 0; i-- {
-			if e := g.endpoints[i]; e.over(now) {
+		for _, v := range slices.Backward(g.endpoints) {
+			if e := v; e.over(now) {
 				f.remove(e)
 			}
 		}
--- a/queue/line.go
+++ b/queue/line.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
@@ -146,10 +147,5 @@
 
 // skips reports whether the callback has ended the visit of class c.
 func (l *line) skips(c ident.Class) bool {
-	for _, s := range l.skipped {
-		if s == c {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(l.skipped, c)
 }
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -108,12 +108,12 @@
 // without waiting. It may report false for an event that is.
 func (r *Reader) Pending() bool {
 	held, _ := r.in.Peek(r.in.Buffered())
-	end := bytes.Index(held, eventEnd)
-	if end < 0 {
+	before, _, ok := bytes.Cut(held, eventEnd)
+	if !ok {
 		return false
 	}
 	// Next waits for more after a comment.
-	return bytes.HasPrefix(held, dataField) || bytes.Contains(held[:end], dataLine)
+	return bytes.HasPrefix(held, dataField) || bytes.Contains(before, dataLine)
 }
 
 // Next returns the next event. After the final marker, which is returned as an
--- a/trial/table.go
+++ b/trial/table.go
@@ -46,7 +46,7 @@
 		return allowed, nil
 	}
 	var out []T
-	for _, part := range strings.Split(text, ",") {
+	for part := range strings.SplitSeq(text, ",") {
 		v := T(strings.TrimSpace(part))
 		if err := oneOf(flag, v, allowed); err != nil {
 			return nil, err
