fix(cmd): let the start script use ports that the system picks

Change: processes of the script listen on port 0 and write their addresses, which the script takes from their output; the list of instances is published afterwards.

--- a/cmd/main_test.go
+++ b/cmd/main_test.go
@@ -1,10 +1,14 @@
 package cmd
 
 import (
+	"bufio"
 	"context"
-	"fmt"
-	"net"
+	"encoding/json"
+	"io"
+	"net/http"
 	"os"
+	"os/exec"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,28 +25,92 @@
 // Runs testdata/*.txtar.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir: "testdata", RequireExplicitExec: true, Setup: freePorts,
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"eventually": eventually, "expand": expand},
+		Dir: "testdata", RequireExplicitExec: true,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"serve": serve, "publish": publish, "eventually": eventually, "expand": expand,
+		},
 	})
 }
 
-// freePorts puts addresses with ports that the system picked into $A1 to $A6.
-func freePorts(env *testscript.Env) error {
-	for i := range 6 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
+// startLimit only ends a test that hangs.
+const startLimit = 30 * time.Second
+
+// serve NAME ARGS... starts the program in the background until the end of the
+// script and puts the addresses that it writes into $NAME, $NAME_ADMIN and $NAME_PEER.
+// Ports are picked by the system, so that runs at the same time don't collide.
+func serve(ts *testscript.TestScript, _ bool, args []string) {
+	program, err := exec.LookPath("tanagerbridge")
+	ts.Check(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	words := make([]string, 0, len(args))
+	for _, a := range args[1:] {
+		// @FILE stands for the content of a file.
+		if name, ok := strings.CutPrefix(a, "@"); ok {
+			a = strings.TrimSpace(ts.ReadFile(name))
 		}
-		defer l.Close() //nolint:errcheck // nothing was sent
-		env.Setenv(fmt.Sprintf("A%d", i+1), l.Addr().String())
+		words = append(words, a)
+	}
+	c := exec.CommandContext(ctx, program, words...)
+	c.Dir = ts.MkAbs(".")
+	c.Cancel = func() error { return c.Process.Signal(os.Interrupt) }
+	out, in := io.Pipe()
+	c.Stdout, c.Stderr = in, in
+	ts.Check(c.Start())
+	ts.Defer(func() {
+		cancel()
+		_ = c.Wait()
+		_ = in.Close()
+	})
+	found := make(chan startedLine, 1)
+	go scanAddresses(out, found)
+	select {
+	case a := <-found:
+		ts.Setenv(args[0], a.Address+a.Listen)
+		ts.Setenv(args[0]+"_ADMIN", a.Admin)
+		ts.Setenv(args[0]+"_PEER", a.Peer)
+	case <-time.After(startLimit):
+		ts.Fatalf("%v does not start", args)
+	}
+}
+
+// startedLine is the part of a line of output that tells where a process listens.
+type startedLine struct {
+	Address string `json:"address"`
+	Listen  string `json:"listen"`
+	Admin   string `json:"admin"`
+	Peer    string `json:"peer"`
+}
+
+// scanAddresses reads all output, and passes the first addresses on.
+func scanAddresses(out io.Reader, found chan<- startedLine) {
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		var a startedLine
+		if json.Unmarshal(lines.Bytes(), &a) != nil || a.Address+a.Listen == "" {
+			continue
+		}
+		select {
+		case found <- a:
+		default:
+		}
+	}
+}
+
+// publish PLATFORM FILE publishes a list of instances at the platform's double.
+func publish(ts *testscript.TestScript, _ bool, args []string) {
+	body := `{"instances":` + ts.ReadFile(args[1]) + `}`
+	resp, err := http.Post("http://"+args[0]+"/control", "application/json", strings.NewReader(body))
+	ts.Check(err)
+	ts.Check(resp.Body.Close())
+	if resp.StatusCode >= http.StatusBadRequest {
+		ts.Fatalf("publish: %s", resp.Status)
 	}
-	return nil
 }
 
-// eventually COMMAND runs a command until it succeeds; the limit only ends a test that hangs.
+// eventually COMMAND runs a command until it succeeds.
 func eventually(ts *testscript.TestScript, _ bool, args []string) {
 	var err error
-	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		if err = ts.Exec(args[0], args[1:]...); err == nil {
 			return
 		}
