fix(entry): end requests whose caller left before the dispatch

Cause: found by reading: when a caller left between the core's decision to dispatch a non-idempotent call and its handler's taking it up, nobody began the try and nobody reported its end. The request stayed in progress for ever, its ticket stayed running, and a drain without a limit never ended. Change: a dispatch that no handler takes up is reported to the core as not run.

--- a/entry/call.go
+++ b/entry/call.go
@@ -83,8 +83,11 @@
 	for {
 		select {
 		case action := <-p.flight.actions:
-			if c, ok := action.(core.Cancel); ok {
-				p.cancel(c.Try)
+			switch a := action.(type) {
+			case core.Cancel:
+				p.cancel(a.Try)
+			case core.Dispatch:
+				p.server.shell.unsent(a)
 			}
 		default:
 			return
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -196,3 +197,48 @@
 	g.wg.Wait()
 	return g.err
 }
+
+// Guards against requests that stay in progress for ever, and keep a drain from
+// ending, because their caller left between the decision to dispatch them and the
+// dispatch.
+func TestDeparturesLeaveNothingInProgress(t *testing.T) {
+	ctx, s := start(t)
+	c := client(t, s, s.PlainService())
+	location, err := c.Locate(ctx, "POST /orders")
+	require.NoError(t, err)
+	address := location.Entries[0].Address
+	var group errgroup
+	for i := range 300 {
+		group.run(func() error {
+			l, err := c.Locate(ctx, "POST /orders")
+			if err != nil {
+				return err
+			}
+			brief, cancel := context.WithTimeout(ctx, time.Duration(i*10)*time.Microsecond)
+			defer cancel()
+			body := strings.NewReader(`{"order":"` + strconv.Itoa(i) + `"}`)
+			req, err := http.NewRequestWithContext(brief, http.MethodPost, "http://"+address+"/v1/call/order-desk/orders", body)
+			if err != nil {
+				return err
+			}
+			req.Header.Set(caller.HeaderTicket, l.Ticket)
+			if resp, err := http.DefaultClient.Do(req); err == nil {
+				return resp.Body.Close()
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.wait())
+	require.Eventually(t, func() bool {
+		for _, e := range s.Entries() {
+			st, err := e.Status(ctx)
+			if err != nil || st.Requests != 0 {
+				return false
+			}
+		}
+		return true
+	}, 20*time.Second, 50*time.Millisecond)
+	for _, o := range fakes.Orders(s.Services...) {
+		require.Equal(t, 1, o.Count, o.Key)
+	}
+}
--- a/entry/shell.go
+++ b/entry/shell.go
@@ -11,6 +11,7 @@
 	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/core"
+	"github.com/tanagerbridge/tanagerbridge/fleet"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/ledger"
 	"github.com/tanagerbridge/tanagerbridge/ticket"
@@ -121,12 +122,22 @@
 func (s *shell) post(id ident.Request, a core.Action) {
 	f := s.flights[id]
 	if f == nil {
+		s.unsent(a)
 		return
 	}
 	select {
 	case f.actions <- a:
 	default:
 		// A full buffer means that the handler is gone; its request ends with its connection.
+		s.unsent(a)
+	}
+}
+
+// unsent tells the core that a try was not begun because its handler has gone. A
+// non-idempotent request would otherwise stay in progress for ever.
+func (s *shell) unsent(a core.Action) {
+	if d, ok := a.(core.Dispatch); ok {
+		go s.apply(core.Ended{Request: d.Request, Try: d.Try, Outcome: fleet.Refused})
 	}
 }
 
@@ -167,6 +178,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.flights, f.id)
+	for {
+		select {
+		case a := <-f.actions:
+			s.unsent(a)
+		default:
+			return
+		}
+	}
 }
 
 // look runs fn on the core under the lock.
