--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -1,6 +1,7 @@
 package budget_test
 
 import (
+	"flag"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -10,6 +11,9 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 )
 
+// Fixes the seed of the property tests unless the command line sets one.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // Guards against rounding that costs a retry, and against saving up beyond the burst.
 func TestRetry(t *testing.T) {
 	r := budget.NewRetry(0.1, 2)
--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -16,6 +16,9 @@
 	"github.com/tanagerbridge/tanagerbridge/ident"
 )
 
+// Fixes the seed of the property tests unless the command line sets one.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 var update = flag.Bool("update", false, "rewrite the golden files")
 
 var classes = []bundle.Class{{Name: "short", First: 1600, Between: 54}, {Name: "long", First: 8000, Between: 54}}
--- a/core/property_test.go
+++ b/core/property_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -15,6 +16,9 @@
 	"github.com/tanagerbridge/tanagerbridge/ticket"
 )
 
+// Fixes the seed of the property tests unless the command line sets one.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // world interleaves several cores with lost, late and repeated messages, and
 // counts how often an endpoint places each order.
 type world struct {
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -1,6 +1,7 @@
 package crash_test
 
 import (
+	"flag"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -12,6 +13,9 @@
 	"github.com/tanagerbridge/tanagerbridge/news"
 )
 
+// Fixes the seed of the property tests unless the command line sets one.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 const term = 10 * clock.Minute
 
 func marks(all ...ident.Fingerprint) []crash.Mark {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -1,6 +1,7 @@
 package queue_test
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,6 +16,9 @@
 	"github.com/tanagerbridge/tanagerbridge/queue"
 )
 
+// Fixes the seed of the property tests unless the command line sets one.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 const service ident.Service = "assistant"
 
 func item(name, caller string, urgency int, deadline clock.Time) queue.Item {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -16,6 +17,9 @@
 	"github.com/tanagerbridge/tanagerbridge/route"
 )
 
+// Fixes the seed of the property tests unless the command line sets one.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 const service ident.Service = "assistant"
 
 // stub is a View of fixed figures in the regions a, which is the entry's own, b and c.
