refactor(core): drop a field that nothing reads

Cause: request.won was set when an answer began and never read; the tries themselves tell which one is left. Change: the field and its assignment are gone. Behaviour is the same.

--- a/core/ended.go
+++ b/core/ended.go
@@ -28,7 +28,6 @@
 	if r.begun == 0 {
 		r.begun = now
 	}
-	r.won = e.Try
 	// The shell is busy with the winner's stream from Win on, so that a later Cancel
 	// would leave the loser running at its engine.
 	c.cancelOthers(now, r, e.Try)
--- a/core/request.go
+++ b/core/request.go
@@ -33,7 +33,6 @@
 
 	tries  []*try
 	number ident.Try
-	won    ident.Try
 	// refusals counts tries that ended without being run, losses those that broke off.
 	refusals int
 	losses   int
