--- a/cmd/root.go
+++ b/cmd/root.go
@@ -35,6 +35,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		entryCommand(),
+		gateCommand(),
 		bundleCommand(),
 		standinCommand(),
 		demoCommand(),
--- /dev/null
+++ b/gate/drain.go
@@ -0,0 +1,114 @@
+package gate
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/mesh"
+)
+
+const (
+	// defaultGrace is the time to stop if the settings name none.
+	defaultGrace = 10 * clock.Second
+	// linger is how long a leaving instance still takes requests: callers use an answer of
+	// the directory for some seconds after it was given.
+	linger = 3 * clock.Second
+	// lastMoment is how long before the kill what is still in progress is cut off.
+	lastMoment = 300 * clock.Millisecond
+)
+
+// Drain leaves: the instance takes no part in the directory any more, still serves what
+// comes for a short time, finishes what is in progress and ends.
+func (s *Server) Drain(ctx context.Context) {
+	grace := s.settings.Grace
+	if grace == 0 {
+		grace = defaultGrace
+	}
+	end := s.clock.Now().Add(grace - lastMoment)
+	s.draining.Store(true)
+	s.log.Info("draining", zap.Int64("active", s.metrics.active.Count()), zap.Int64("grace", int64(grace)))
+	s.announce(mesh.Leaving)
+	sleepSpan(ctx, min(linger, grace/2))
+	ctx, cancel := context.WithTimeout(ctx, max(0, end.Sub(s.clock.Now())).Duration())
+	defer cancel()
+	var group sync.WaitGroup
+	for _, server := range []*http.Server{s.callers, s.hops} {
+		group.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				s.log.Warn("requests cut off", zap.Int64("active", s.metrics.active.Count()), zap.Error(err))
+			}
+		})
+	}
+	group.Wait()
+	s.Close()
+	s.log.Info("stopped")
+}
+
+// announce tells the other instances of this one's state.
+func (s *Server) announce(state mesh.State) {
+	if s.node.State() != state {
+		s.node.SetState(state)
+	}
+}
+
+// closing asks the caller to open its next connection elsewhere.
+func (s *Server) closing(h http.Header) {
+	if s.draining.Load() {
+		h["Connection"] = []string{"close"}
+	}
+}
+
+// idleConns closes callers' connections that have been idle for longer than the table in
+// force allows.
+type idleConns struct {
+	s      *Server
+	mu     sync.Mutex
+	timers map[net.Conn]*time.Timer
+}
+
+func newIdleConns(s *Server) *idleConns {
+	return &idleConns{s: s, timers: make(map[net.Conn]*time.Timer)}
+}
+
+func (i *idleConns) changed(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if t := i.timers[c]; t != nil {
+		t.Stop()
+		delete(i.timers, c)
+	}
+	if state != http.StateIdle {
+		return
+	}
+	if limit := i.limit(); limit > 0 {
+		i.timers[c] = time.AfterFunc(limit, func() { i.expire(c) })
+	}
+}
+
+func (i *idleConns) limit() time.Duration {
+	if t := i.s.state.table.Load(); t != nil {
+		return t.Bounds.IdleTimeout.Duration()
+	}
+	return 0
+}
+
+func (i *idleConns) expire(c net.Conn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.timers[c] == nil {
+		return
+	}
+	delete(i.timers, c)
+	_ = c.Close() // the caller may have closed it before
+}
+
+func zapText(key, value string) zap.Field { return zap.String(key, value) }
+
+func zapVersion(v ident.Version) zap.Field { return zap.Uint64("version", uint64(v)) }
--- /dev/null
+++ b/gate/flight.go
@@ -0,0 +1,392 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/mesh"
+	"github.com/tanagerbridge/tanagerbridge/pool"
+	"github.com/tanagerbridge/tanagerbridge/relay"
+)
+
+const (
+	// onceIdle is how long an idle connection is reused for a request that may run only
+	// once: an endpoint that closes it meanwhile leaves the outcome unknown.
+	onceIdle = 1 * time.Second
+	// repeatIdle is the same for a request that may be repeated.
+	repeatIdle = 4 * time.Second
+	// maxSends bounds the sends of one request that endpoints refuse without running it.
+	maxSends = 6
+	// waitStep is the pause before an endpoint is looked for again.
+	waitStep = 15 * clock.Millisecond
+	// waitShare is the part of a route's target for which a request waits for an endpoint.
+	waitShare = 8
+	// lateFactor is how many times its target an answer may be expected to take before
+	// the request is refused.
+	lateFactor = 3
+	// timeMargin is by how much an endpoint's time limit lies before the caller's.
+	timeMargin = 10 * clock.Millisecond
+	// minRetryAfter is the least time after which a caller is asked to come back.
+	minRetryAfter = 150 * clock.Millisecond
+	// maxAnswerBytes bounds an answer that is held until it is complete.
+	maxAnswerBytes = 16 << 20
+	// silentFactor and silentBase bound how long a request that may be repeated waits for
+	// the first byte, by the expected time.
+	silentFactor = 3
+	silentBase   = 150 * clock.Millisecond
+	// stallGaps is how many of a route's gaps a stream may stand still before it is resumed
+	// at another endpoint.
+	stallGaps = 3
+)
+
+// flight is one request of a caller.
+type flight struct {
+	s       *Server
+	writer  http.ResponseWriter
+	request *http.Request
+	table   *bundle.Table
+	route   *bundle.Route
+	head    Head
+	ask     pool.Ask
+	body    []byte
+	header  http.Header
+	hopped  bool
+
+	arrived  clock.Time
+	deadline clock.Time
+	view     mesh.View
+
+	// sends counts what reached an endpoint or another instance, runs what may have run.
+	sends int
+	runs  int
+	// unsure says that the request may have run.
+	unsure bool
+	avoid  []string
+	// committed says that the head of the answer has gone to the caller.
+	committed bool
+	lastEvent string
+	// held is an endpoint's failure that is passed on if no further send does better.
+	held *heldAnswer
+	// spot is where the last send went, for the log.
+	spot    string
+	version ident.Version
+	last    string
+}
+
+// result says what a send led to.
+type result int
+
+const (
+	// ended: the caller has its answer, or has left.
+	ended result = iota
+	// again: the request may be sent once more.
+	again
+	// failed: nothing more can be done for a request that may have run.
+	failed
+)
+
+// place is where a request goes next: an endpoint of this region or another instance.
+type place struct {
+	local  *pool.Choice
+	hop    *hop
+	delay  clock.Span
+	wait   clock.Span
+	reason string
+}
+
+// run finds endpoints for the request until it is answered or has to be given up.
+func (f *flight) run(ctx context.Context) {
+	for {
+		if f.expired(ctx) {
+			return
+		}
+		p, ok := f.find()
+		if !ok {
+			if f.mayWait() && sleepSpan(ctx, waitStep) {
+				continue
+			}
+			f.giveUp(p)
+			return
+		}
+		if !f.paid() {
+			p.reason = "no retry budget"
+			f.giveUp(p)
+			return
+		}
+		switch f.send(ctx, p) {
+		case ended:
+			return
+		case failed:
+			f.fail(http.StatusBadGateway, "endpoint failed")
+			return
+		case again:
+			if f.sends >= maxSends {
+				p.reason = "too many sends"
+				f.giveUp(p)
+				return
+			}
+		}
+	}
+}
+
+// expired ends a request whose time is over or whose caller has left.
+func (f *flight) expired(ctx context.Context) bool {
+	if ctx.Err() == nil {
+		return false
+	}
+	if f.request.Context().Err() != nil {
+		f.done("left", 0)
+		return true
+	}
+	f.timedOut()
+	return true
+}
+
+func (f *flight) timedOut() {
+	if f.unsure {
+		f.fail(http.StatusGatewayTimeout, "no answer in time")
+		return
+	}
+	f.refuse("no endpoint in time", minRetryAfter)
+}
+
+func (f *flight) left() clock.Span { return f.deadline.Sub(f.s.clock.Now()) }
+
+func (f *flight) mayWait() bool {
+	waited := f.s.clock.Now().Sub(f.arrived)
+	return f.sends < maxSends && waited < f.route.Target/waitShare && f.left() > 4*waitStep
+}
+
+// find returns the place that is expected to answer first.
+func (f *flight) find() (place, bool) {
+	now := f.s.clock.Now()
+	var local place
+	haveLocal := false
+	if len(f.route.Homes) == 0 || slices.Contains(f.route.Homes, f.s.settings.Region) {
+		f.s.state.locked(func(p *pool.Pool, now clock.Time) {
+			c, ok := p.Choose(now, f.ask)
+			if ok {
+				local, haveLocal = place{local: &c, delay: c.Delay, wait: c.Wait}, true
+			}
+		})
+	}
+	best, found := local, haveLocal
+	if !f.hopped {
+		f.view = f.s.node.View()
+		h, ok := f.s.state.bestHop(now, f.view.Regions, f.route, f.ask, f.avoid, f.s.random())
+		if ok && (!haveLocal || h.delay+hopMargin < local.delay) {
+			best, found = place{hop: &h, delay: h.delay, wait: h.wait}, true
+		}
+	}
+	if !found {
+		best.reason = "no endpoint"
+		return best, false
+	}
+	if best.wait > 0 && best.delay > lateFactor*f.route.Target {
+		best.reason = "overload"
+		return best, false
+	}
+	return best, true
+}
+
+// paid counts the arrival and tells whether the retry budget allows it.
+func (f *flight) paid() bool {
+	if f.sends == 0 {
+		f.s.state.first(f.ask.Service)
+		return true
+	}
+	return f.s.state.retry(f.ask.Service, max(1, f.view.Known))
+}
+
+// giveUp ends a request for which there is no place.
+func (f *flight) giveUp(p place) {
+	switch {
+	case f.held != nil:
+		f.deliverHeld()
+	case f.unsure:
+		f.fail(http.StatusBadGateway, p.reason)
+	default:
+		f.refuse(p.reason, max(minRetryAfter, p.wait/2))
+	}
+}
+
+// repeatable reports whether the request may be sent again after it may have run.
+func (f *flight) repeatable() bool {
+	return f.route.Repeatable() && f.runs < f.route.Attempts
+}
+
+// send sends the request to a place and passes the answer on.
+func (f *flight) send(ctx context.Context, p place) result {
+	now := f.s.clock.Now()
+	t := &try{f: f, place: p, began: now}
+	forward := Forward{Left: max(1, f.left()-timeMargin), LastEvent: f.lastEvent}
+	address := ""
+	if p.hop != nil {
+		address = p.hop.address
+		f.s.state.hopped(now, p.hop.region, f.ask.Service)
+	} else {
+		address = p.local.Address
+		forward.Endpoint, forward.Priority, forward.Ranked = p.local.Endpoint, f.route.Priority, f.ask.Engine
+		f.s.state.locked(func(o *pool.Pool, now clock.Time) { t.ticket = o.Begin(now, f.ask, *p.local) })
+	}
+	f.spot = t.name()
+	f.sends++
+	ctx, t.cancel = context.WithCancelCause(ctx)
+	defer t.cancel(nil)
+	t.arm()
+	answer, err := f.s.state.relay(address).Do(ctx, f.message(t, forward), f.idle())
+	if err != nil {
+		return t.broken(ctx, err)
+	}
+	defer answer.Close()
+	return t.answered(ctx, answer)
+}
+
+func (f *flight) idle() time.Duration {
+	if f.route.Repeatable() {
+		return repeatIdle
+	}
+	return onceIdle
+}
+
+// message returns the request as the endpoint gets it.
+func (f *flight) message(t *try, forward Forward) *relay.Request {
+	h := f.header.Clone()
+	f.s.dialect.Forward(h, forward)
+	if t.place.hop != nil {
+		h[headerHop] = []string{"1"}
+	}
+	return &relay.Request{
+		Method: f.request.Method, URI: f.request.RequestURI, Host: f.request.Host, Header: h, Body: f.body,
+		Belongs: func(h http.Header) bool {
+			got := f.s.dialect.Answer(http.StatusOK, h).Attempt
+			return got == f.head.Attempt || got == ""
+		},
+	}
+}
+
+// try is one send of a request.
+type try struct {
+	f      *flight
+	place  place
+	ticket *pool.Send
+	began  clock.Time
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+	over   bool
+}
+
+// errSilent ends a send whose endpoint stays silent for too long.
+var errSilent = fault.Newf("send", Invalid, "endpoint is silent")
+
+// arm bounds the wait for the first byte if another endpoint may be tried instead.
+func (t *try) arm() {
+	if !t.f.repeatable() || t.f.runs+1 >= t.f.route.Attempts {
+		return
+	}
+	t.silence(max(t.f.route.Target, silentFactor*t.place.delay+silentBase))
+}
+
+// silence ends the send unless it is called again within the given time.
+func (t *try) silence(limit clock.Span) {
+	if t.timer != nil {
+		t.timer.Reset(limit.Duration())
+		return
+	}
+	t.timer = time.AfterFunc(limit.Duration(), func() { t.cancel(errSilent) })
+}
+
+func (t *try) name() string {
+	if t.place.hop != nil {
+		return t.place.hop.address
+	}
+	return string(t.place.local.Endpoint)
+}
+
+// end records how the send ended; only the first call counts.
+func (t *try) end(o pool.Outcome) {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	if t.over {
+		return
+	}
+	t.over = true
+	f := t.f
+	f.last = string(o)
+	f.s.metrics.tried(string(o))
+	if t.ticket != nil {
+		f.s.state.locked(func(p *pool.Pool, now clock.Time) { p.End(now, t.ticket, o) })
+	}
+	if o != pool.Done && o != pool.Canceled {
+		f.s.log.Info("send failed", zap.String("request", f.head.Attempt), zap.String("to", t.name()),
+			zap.String("outcome", string(o)), zap.Int("send", f.sends),
+			zap.Int64("expected", int64(t.place.delay)), zap.Int64("took", int64(f.s.clock.Now().Sub(t.began))))
+	}
+}
+
+// first records the first byte of the answer.
+func (t *try) first() {
+	if t.ticket != nil {
+		t.f.s.state.locked(func(p *pool.Pool, now clock.Time) { p.First(now, t.ticket) })
+	}
+}
+
+// avoidPlace keeps the next send from going to the same place.
+func (t *try) avoidPlace() {
+	if t.place.hop != nil {
+		t.f.avoid = append(t.f.avoid, t.place.hop.address)
+		return
+	}
+	t.f.ask.Avoid = append(t.f.ask.Avoid, t.place.local.Endpoint)
+}
+
+// broken handles a send that ended without a complete answer.
+func (t *try) broken(ctx context.Context, err error) result {
+	f := t.f
+	unsent := fault.KindOf[relay.Kind](err) == relay.Unsent
+	if !unsent {
+		f.unsure = true
+		f.runs++
+	}
+	t.avoidPlace()
+	switch cause := context.Cause(ctx); {
+	case f.request.Context().Err() != nil:
+		t.end(pool.Canceled)
+		f.done("left", 0)
+		return ended
+	case cause != nil && cause != error(errSilent):
+		t.end(pool.Late)
+		f.timedOut()
+		return ended
+	case cause != nil:
+		t.end(pool.Late)
+	case unsent:
+		t.end(pool.Unreachable)
+		return again
+	default:
+		t.end(pool.Broken)
+	}
+	if f.repeatable() {
+		return again
+	}
+	return failed
+}
+
+// done logs the end of a request.
+func (f *flight) done(outcome string, status int) {
+	total := f.s.clock.Now().Sub(f.arrived)
+	f.s.metrics.ended(f.route.Name, outcome, int64(total))
+	f.s.log.Info("request", zap.String("request", f.head.Attempt), zap.String("outcome", outcome), zap.Int("status", status),
+		zap.String("route", f.route.Name), zap.String("to", f.spot), zap.String("last", f.last), zap.Int("sends", f.sends),
+		zap.Bool("hopped", f.hopped), zap.Uint64("version", uint64(f.table.Version)), zap.Int64("total", int64(total)),
+		zap.Int64("left", int64(f.left())))
+}
--- /dev/null
+++ b/gate/front.go
@@ -0,0 +1,133 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/caller"
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/pool"
+)
+
+// unreadyAfter is when a caller is asked to come back to an instance that has no table yet.
+const unreadyAfter = 300 * clock.Millisecond
+
+// front serves callers.
+func (s *Server) front(w http.ResponseWriter, r *http.Request) { s.handle(w, r, false) }
+
+// hop serves requests that another instance passes on.
+func (s *Server) hop(w http.ResponseWriter, r *http.Request) {
+	s.handle(w, r, r.Header.Get(headerHop) != "")
+}
+
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, hopped bool) {
+	s.metrics.active.Inc(1)
+	defer s.metrics.active.Dec(1)
+	arrived := s.clock.Now()
+	table := s.state.table.Load()
+	if table == nil || !s.state.ready() {
+		s.dialect.Later(w.Header(), unreadyAfter)
+		respond(w, http.StatusServiceUnavailable, caller.RanNo, "unready", "no configuration yet", "")
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := table.Match(r.Host, path)
+	if route == nil {
+		s.log.Info("no route", zapText("host", r.Host), zapText("path", path), zapVersion(table.Version))
+		respond(w, http.StatusNotFound, caller.RanNo, "route", "no route for this host and path", "")
+		return
+	}
+	f := s.newFlight(w, r, table, route, arrived)
+	f.hopped = hopped
+	if !f.readBody(table.Bounds.BodyBytes) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), f.left().Duration())
+	defer cancel()
+	f.run(ctx)
+}
+
+func (s *Server) newFlight(w http.ResponseWriter, r *http.Request, t *bundle.Table, route *bundle.Route, arrived clock.Time) *flight {
+	head := s.dialect.Head(r.Header)
+	header := r.Header.Clone()
+	for name := range connectionHeaders(header) {
+		delete(header, name)
+	}
+	delete(header, headerHop)
+	s.dialect.Strip(header)
+	limit := route.Timeout
+	if head.Bounded {
+		limit = min(limit, head.Left)
+	}
+	service := route.Spread(s.fraction())
+	backend := t.Backends[service]
+	return &flight{
+		s: s, writer: w, request: r, table: t, route: route, head: head, header: header,
+		arrived: arrived, deadline: arrived.Add(limit), lastEvent: head.LastEvent,
+		ask: pool.Ask{
+			Service: service, Engine: backend.Engine, Memory: backend.Memory, ColdRate: backend.ColdRate,
+			Parts: head.Parts, Prompt: head.Prompt, Output: head.Output, Target: route.Target,
+		},
+	}
+}
+
+// readBody reads the request's body and answers itself if that is not possible.
+func (f *flight) readBody(limit int64) bool {
+	if f.request.ContentLength == 0 {
+		return true
+	}
+	if limit <= 0 {
+		limit = maxAnswerBytes
+	}
+	size := max(f.request.ContentLength, 0)
+	if size > limit {
+		f.reject(http.StatusRequestEntityTooLarge, "body is too large")
+		return false
+	}
+	body := make([]byte, 0, size+1)
+	in := io.LimitReader(f.request.Body, limit+1)
+	for {
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		n, err := in.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			f.reject(http.StatusBadRequest, "body can't be read")
+			return false
+		}
+	}
+	if int64(len(body)) > limit {
+		f.reject(http.StatusRequestEntityTooLarge, "body is too large")
+		return false
+	}
+	f.body = body
+	return true
+}
+
+func (f *flight) reject(status int, reason string) {
+	f.writer.Header().Set("Connection", "close")
+	respond(f.writer, status, caller.RanNo, "malformed", reason, f.head.Attempt)
+	f.done("rejected", status)
+}
+
+// sleepSpan waits and reports whether the whole time passed.
+func sleepSpan(ctx context.Context, s clock.Span) bool {
+	t := time.NewTimer(s.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/gate/server.go
@@ -0,0 +1,224 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/mesh"
+	"github.com/tanagerbridge/tanagerbridge/store"
+)
+
+const (
+	// headerTimeout bounds the time for the head of a request.
+	headerTimeout = 10 * time.Second
+	// headerBytes bounds the head of a request; the table's own limit is lower.
+	headerBytes = 64 << 10
+	// listInterval is the pause between two readings of the list of endpoints.
+	listInterval = 700 * clock.Millisecond
+	// controlInterval is how often the whole configuration is read again beside the watch.
+	controlInterval = 6 * clock.Second
+	// controlWait is how long one watch for the configuration waits.
+	controlWait = 1500 * clock.Millisecond
+	// checkPause is the pause between two looks for endpoints to check.
+	checkPause = 50 * clock.Millisecond
+	// trimPause is the pause between two closings of idle connections.
+	trimPause = time.Second
+)
+
+// Server is one running instance.
+type Server struct {
+	settings Settings
+	dialect  Dialect
+	clock    clock.Clock
+	log      *zap.Logger
+	metrics  *metrics
+	state    *state
+	node     *mesh.Node
+	draining atomic.Bool
+
+	callers   *http.Server
+	hops      *http.Server
+	listeners []net.Listener
+	servers   []*http.Server
+	idle      *idleConns
+	stop      context.CancelFunc
+	tasks     sync.WaitGroup
+}
+
+// Start binds all addresses and begins to serve. The instance is ready when it has read
+// the configuration and the list of endpoints.
+func Start(ctx context.Context, c Config) (*Server, error) {
+	if err := c.Settings.Check(); err != nil {
+		return nil, err
+	}
+	m := newMetrics()
+	s := &Server{settings: c.Settings, dialect: c.Dialect, clock: c.Clock, log: c.Log, metrics: m, state: newState(c, m)}
+	s.idle = newIdleConns(s)
+	ctx, s.stop = context.WithCancel(context.WithoutCancel(ctx))
+	if err := s.bind(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	if err := s.join(ctx, c); err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.run(ctx, c.Source)
+	for i, l := range s.listeners {
+		go func() { _ = s.servers[i].Serve(l) }()
+	}
+	s.log.Info("started", zap.String("front", s.settings.Front), zap.String("region", string(s.settings.Region)),
+		zap.String("zone", string(s.settings.Zone)), zap.Strings("seeds", s.settings.Seeds))
+	return s, nil
+}
+
+// bind opens the sockets.
+func (s *Server) bind(ctx context.Context) error {
+	paths := s.dialect.Paths()
+	hop := net.JoinHostPort(s.settings.IP, strconv.Itoa(s.settings.HopPort))
+	var err error
+	if s.callers, err = s.listen(ctx, &s.settings.Front, http.HandlerFunc(s.front)); err != nil {
+		return err
+	}
+	s.callers.ConnState = s.idle.changed
+	if s.hops, err = s.listen(ctx, &hop, http.HandlerFunc(s.hop)); err != nil {
+		return err
+	}
+	s.settings.HopPort = portOf(hop)
+	ready := mux.NewRouter()
+	ready.HandleFunc(paths.Ready, s.answerReady)
+	if _, err := s.listen(ctx, &s.settings.Ready, ready); err != nil {
+		return err
+	}
+	directory := mux.NewRouter()
+	directory.HandleFunc(paths.Directory, s.answerDirectory)
+	if _, err := s.listen(ctx, &s.settings.Directory, directory); err != nil {
+		return err
+	}
+	if s.settings.Metrics != "" {
+		if _, err := s.listen(ctx, &s.settings.Metrics, s.metrics); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// listen binds an address, which may have port 0, and writes the one in use back.
+func (s *Server) listen(ctx context.Context, address *string, handler http.Handler) (*http.Server, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", *address)
+	if err != nil {
+		return nil, fault.Wrap("listen", Listening, err)
+	}
+	*address = l.Addr().String()
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: zap.NewStdLog(s.log.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	s.listeners = append(s.listeners, l)
+	s.servers = append(s.servers, server)
+	return server, nil
+}
+
+func portOf(address string) int {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return 0
+	}
+	n, _ := strconv.Atoi(port) // a bound address has a numeric port
+	return n
+}
+
+// join starts the exchange with the other instances.
+func (s *Server) join(ctx context.Context, c Config) error {
+	node, err := mesh.Start(ctx, mesh.Config{
+		Self: mesh.Record{
+			Name: s.settings.Name, Incarnation: ident.Incarnation(time.Now().UnixNano()), Region: s.settings.Region,
+			Zone: s.settings.Zone, Mesh: s.settings.Mesh, Front: s.settings.Front,
+			Hop: net.JoinHostPort(s.settings.IP, strconv.Itoa(s.settings.HopPort)),
+		},
+		Seeds: s.settings.Seeds, Clock: s.clock, Log: s.log, Seed: c.Seed, Load: s.state.load, Heard: s.state.peerWork,
+	})
+	if err != nil {
+		return err
+	}
+	s.node = node
+	return nil
+}
+
+// run starts the loops that keep the instance's view up to date.
+func (s *Server) run(ctx context.Context, source Source) {
+	list := store.NewFollower(store.Config{
+		Reader: source, Clock: s.clock, Prefix: source.EndpointPrefix(), Interval: listInterval,
+		Changed: s.state.listChanged, Failed: s.state.storeFailed("endpoints"),
+	})
+	control := store.NewFollower(store.Config{
+		Reader: source, Clock: s.clock, Prefix: source.ControlPrefix(), Interval: controlInterval, Wait: controlWait,
+		Changed: s.state.controlChanged, Failed: s.state.storeFailed("control"),
+	})
+	s.tasks.Go(func() { list.Run(ctx) })
+	s.tasks.Go(func() { control.Run(ctx) })
+	s.tasks.Go(func() { every(ctx, checkPause.Duration(), s.check) })
+	s.tasks.Go(func() { every(ctx, trimPause, s.trim) })
+}
+
+// every calls fn again and again until ctx ends.
+func every(ctx context.Context, pause time.Duration, fn func(context.Context)) {
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			fn(ctx)
+		}
+	}
+}
+
+// trim closes idle connections and passes on who may use cold endpoints.
+func (s *Server) trim(context.Context) {
+	s.state.meshChanged(s.node.View())
+	if s.state.ready() && !s.draining.Load() {
+		s.announce(mesh.Ready)
+	}
+	now := time.Now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	for _, r := range s.state.relays {
+		r.Trim(now)
+	}
+}
+
+// Reload takes new settings. Addresses stay as they are.
+func (s *Server) Reload(n Settings) {
+	s.log.Info("settings reloaded", zap.Strings("seeds", n.Seeds))
+	s.node.SetSeeds(n.Seeds)
+}
+
+// Addresses returns the addresses in use.
+func (s *Server) Addresses() Settings { return s.settings }
+
+func (s *Server) random() uint64    { return rand.Uint64() }
+func (s *Server) fraction() float64 { return rand.Float64() }
+
+// Close ends the instance at once.
+func (s *Server) Close() {
+	s.stop()
+	for i, l := range s.listeners {
+		_ = s.servers[i].Close()
+		_ = l.Close()
+	}
+	s.tasks.Wait()
+}
--- /dev/null
+++ b/gate/state.go
@@ -0,0 +1,202 @@
+package gate
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/budget"
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/mesh"
+	"github.com/tanagerbridge/tanagerbridge/pool"
+	"github.com/tanagerbridge/tanagerbridge/relay"
+	"github.com/tanagerbridge/tanagerbridge/store"
+)
+
+// retryMargin is the part of the retry budget that is used.
+const retryMargin = 0.8
+
+// state is what an instance believes. Its methods are safe for concurrent use.
+type state struct {
+	settings Settings
+	clock    clock.Clock
+	log      *zap.Logger
+	source   Source
+	metrics  *metrics
+
+	table  atomic.Pointer[bundle.Table]
+	listed atomic.Bool
+
+	mu      sync.Mutex
+	pool    *pool.Pool
+	retries map[ident.Service]*budget.Window
+	relays  map[string]*relay.Pool
+	hops    hopLoad
+}
+
+func newState(c Config, m *metrics) *state {
+	return &state{
+		settings: c.Settings, clock: c.Clock, log: c.Log, source: c.Source, metrics: m,
+		pool:    pool.New(pool.Config{Self: c.Settings.Name, Region: c.Settings.Region, Seed: c.Seed}),
+		retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
+		hops: make(hopLoad),
+	}
+}
+
+// ready reports whether the instance knows enough to take work.
+func (s *state) ready() bool { return s.table.Load() != nil && s.listed.Load() }
+
+// listChanged takes a new list of endpoints.
+func (s *state) listChanged(snapshot store.Snapshot) {
+	infos, unreadable := s.source.Endpoints(snapshot)
+	for _, key := range unreadable {
+		s.log.Warn("endpoint entry can't be read", zap.String("key", key))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for _, c := range s.pool.Sync(now, snapshot.Read, infos) {
+		s.log.Info("endpoint "+c.What, zap.String("endpoint", string(c.Endpoint)),
+			zap.String("service", string(c.Service)), zap.Int64("revision", int64(snapshot.At)))
+	}
+	s.dropRelays(infos)
+	s.listed.Store(true)
+}
+
+// dropRelays closes the connections to addresses that no endpoint has any more.
+func (s *state) dropRelays(infos []pool.Info) {
+	used := make(map[string]bool, len(infos))
+	for _, i := range infos {
+		used[i.Address] = true
+	}
+	maps.DeleteFunc(s.relays, func(address string, r *relay.Pool) bool {
+		if used[address] || r.Open() > 0 {
+			return false
+		}
+		r.Close()
+		return true
+	})
+}
+
+// controlChanged takes a new configuration and new evacuations.
+func (s *state) controlChanged(snapshot store.Snapshot) {
+	table, zones, err := s.source.Control(snapshot)
+	if err != nil {
+		s.log.Error("configuration can't be read, the version in force stays", zap.Error(err),
+			zap.Int64("revision", int64(snapshot.At)))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slices.Sort(zones)
+	s.pool.Evacuate(zones)
+	if table == nil {
+		return
+	}
+	old := s.table.Load()
+	if old != nil && table.Version <= old.Version {
+		return
+	}
+	s.table.Store(table)
+	before := ident.Version(0)
+	if old != nil {
+		before = old.Version
+	}
+	s.log.Info("configuration in force", zap.Uint64("version", uint64(table.Version)),
+		zap.Uint64("before", uint64(before)), zap.Int("routes", len(table.Routes)),
+		zap.Int64("revision", int64(snapshot.At)))
+}
+
+// storeFailed logs a failed call to the store, or that calls work again.
+func (s *state) storeFailed(what string) func(error) {
+	return func(err error) {
+		if err == nil {
+			s.log.Info("store answers again", zap.String("followed", what))
+			return
+		}
+		s.metrics.storeFailures.Inc(1)
+		s.log.Warn("store call failed", zap.String("followed", what),
+			zap.String("kind", string(fault.KindOf[store.Kind](err))), zap.Error(err))
+	}
+}
+
+// meshChanged takes what is known of the instances of the region.
+func (s *state) meshChanged(v mesh.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Members(v.Neighbours, v.Settled)
+}
+
+// peerWork takes the work of another instance of the region.
+func (s *state) peerWork(from ident.Entry, work []mesh.Work) {
+	loads := make(map[ident.Endpoint]pool.PeerLoad, len(work))
+	for _, w := range work {
+		loads[w.Endpoint] = pool.PeerLoad{Count: w.Count, Reading: w.Reading, Holding: w.Holding}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Hear(s.clock.Now(), from, loads)
+}
+
+// load returns what this instance tells its peers.
+func (s *state) load() (work []mesh.Work, services []pool.Summary) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.pool.Work() {
+		work = append(work, mesh.Work{Endpoint: id, Count: l.Count, Reading: l.Reading, Holding: l.Holding})
+	}
+	if work == nil {
+		work = []mesh.Work{}
+	}
+	return work, s.pool.Summaries(s.clock.Now())
+}
+
+// locked runs fn with the pool.
+func (s *state) locked(fn func(p *pool.Pool, now clock.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn(s.pool, s.clock.Now())
+}
+
+// relay returns the connections to an address.
+func (s *state) relay(address string) *relay.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.relays[address]
+	if r == nil {
+		r = relay.NewPool(relay.Config{Address: address, Opened: func() { s.metrics.connections.Inc(1) }})
+		s.relays[address] = r
+	}
+	return r
+}
+
+// window returns the retry budget of a service. The lock is held.
+func (s *state) window(service ident.Service) *budget.Window {
+	w := s.retries[service]
+	if w == nil {
+		w = budget.NewWindow(budget.WindowConfig{
+			Span: s.settings.Retry.Window, Ratio: s.settings.Retry.Ratio, Slack: s.settings.Retry.Slack, Margin: retryMargin,
+		})
+		s.retries[service] = w
+	}
+	return w
+}
+
+// first records the first arrival of a request at a service.
+func (s *state) first(service ident.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window(service).First(s.clock.Now())
+}
+
+// retry takes one further arrival out of the budget.
+func (s *state) retry(service ident.Service, instances int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.window(service).Take(s.clock.Now(), instances)
+}
--- /dev/null
+++ b/mesh/doc.go
@@ -0,0 +1,102 @@
+// Package mesh lets the instances find each other and tell each other short, idempotent
+// facts over UDP: who is there, in which state, and how loaded the endpoints are.
+//
+// Each instance raises a counter in its own record. Records spread by gossip; an instance
+// whose counter stands still for too long counts as gone. Datagrams may be lost, late or
+// doubled, and nothing is decided by their order.
+package mesh
+
+import (
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/pool"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	// Listening says that the address can't be bound.
+	Listening Kind = "listening"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+// State is what an instance says of itself.
+type State uint8
+
+// States.
+const (
+	// Starting says that the instance has no configuration yet.
+	Starting State = iota
+	// Ready says that the instance takes work.
+	Ready
+	// Leaving says that the instance takes no new work.
+	Leaving
+)
+
+// Record describes one instance.
+type Record struct {
+	Name        ident.Entry       `msgpack:"n"`
+	Incarnation ident.Incarnation `msgpack:"i"`
+	// Counter is raised by the instance with each round.
+	Counter uint64       `msgpack:"c"`
+	State   State        `msgpack:"s"`
+	Region  ident.Region `msgpack:"r"`
+	Zone    ident.Zone   `msgpack:"z"`
+	// Mesh is the address for datagrams, Front the one for callers and Hop the one for
+	// requests that another instance passes on.
+	Mesh  string `msgpack:"m"`
+	Front string `msgpack:"f"`
+	Hop   string `msgpack:"h"`
+}
+
+// Message is one datagram.
+type Message struct {
+	From Record `msgpack:"f"`
+	// Heard says that the sender has lately heard from the receiver.
+	Heard bool `msgpack:"h"`
+	// Records are some other instances.
+	Records []Record `msgpack:"r,omitempty"`
+	// Work is the sender's work on the endpoints of its region; sent within a region.
+	Work []Work `msgpack:"w,omitempty"`
+	// Regions is what the sender's region can do; sent to other regions.
+	Services []pool.Summary `msgpack:"v,omitempty"`
+	// Reply asks for a message at once.
+	Reply bool `msgpack:"a,omitempty"`
+}
+
+// Work is the sender's work on one endpoint.
+type Work struct {
+	Endpoint ident.Endpoint `msgpack:"e"`
+	Count    int            `msgpack:"c"`
+	Reading  ident.Tokens   `msgpack:"r"`
+	Holding  ident.Tokens   `msgpack:"h"`
+}
+
+const (
+	// round is the time between two rounds of messages.
+	round = 200 * clock.Millisecond
+	// nearFan and farFan are how many instances of the own and of other regions get a
+	// message in one round. They bound what an instance sends at any size of the fleet.
+	nearFan = 6
+	farFan  = 2
+	// gossipRecords is how many other records a message carries.
+	gossipRecords = 4
+	// aliveSpan is how long an instance counts as alive without news in a small fleet.
+	aliveSpan = 1800 * clock.Millisecond
+	// aliveRounds is the least number of full turns through all instances in that time.
+	aliveRounds = 3
+	// knownSpan is how long an instance is remembered after it was last alive. Bounds that
+	// all instances share are divided by those that are remembered.
+	knownSpan = 90 * clock.Second
+	// settleSpan is how long after the start the others have had to make themselves known.
+	settleSpan = 2 * clock.Second
+	// summaryLife is how long what another region tells of its services counts.
+	summaryLife = 2 * clock.Second
+	// maxDatagram bounds a message in bytes; larger ones would be fragmented into many packets.
+	maxDatagram = 8 << 10
+)
--- /dev/null
+++ b/mesh/node.go
@@ -0,0 +1,178 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/pool"
+)
+
+// Config configures a Node.
+type Config struct {
+	Self  Record
+	Seeds []string
+	Clock clock.Clock
+	Log   *zap.Logger
+	Seed  uint64
+	// Load returns this instance's work and what its region can do.
+	Load func() ([]Work, []pool.Summary)
+	// Heard takes another instance's work on the endpoints of this region.
+	Heard func(from ident.Entry, work []Work)
+}
+
+// Node sends and receives the messages of one instance. It is safe for concurrent use.
+type Node struct {
+	c      Config
+	socket *net.UDPConn
+	mu     sync.Mutex
+	table  *Table
+	alive  int
+}
+
+// Start binds the socket of Config.Self.Mesh and runs until ctx ends.
+func Start(ctx context.Context, c Config) (*Node, error) {
+	address, err := net.ResolveUDPAddr("udp4", c.Self.Mesh)
+	if err != nil {
+		return nil, fault.Wrap("listen", Listening, err)
+	}
+	socket, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, fault.Wrap("listen", Listening, err)
+	}
+	c.Self.Mesh = socket.LocalAddr().String()
+	n := &Node{c: c, socket: socket, table: NewTable(c.Clock.Now(), c.Self, c.Seeds, c.Seed)}
+	go n.receive(ctx)
+	go n.run(ctx)
+	return n, nil
+}
+
+func (n *Node) run(ctx context.Context) {
+	ticker := time.NewTicker(round.Duration())
+	defer ticker.Stop()
+	defer n.socket.Close() //nolint:errcheck // the process is ending
+	for {
+		work, services := n.c.Load()
+		n.send(n.look(func(t *Table, now clock.Time) []Letter {
+			t.Forget(now)
+			n.logAlive(len(t.Alive(now)))
+			return t.Round(now, work, services)
+		}))
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) logAlive(count int) {
+	if count == n.alive {
+		return
+	}
+	n.c.Log.Info("instances changed", zap.Int("alive", count), zap.Int("before", n.alive))
+	n.alive = count
+}
+
+func (n *Node) receive(ctx context.Context) {
+	buffer := make([]byte, 64<<10)
+	for ctx.Err() == nil {
+		size, _, err := n.socket.ReadFromUDP(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				n.c.Log.Warn("receive failed", zap.Error(err))
+				time.Sleep(round.Duration())
+			}
+			continue
+		}
+		var m Message
+		if err := msgpack.Unmarshal(buffer[:size], &m); err != nil {
+			n.c.Log.Warn("message can't be read", zap.Error(err))
+			continue
+		}
+		var answer *Letter
+		n.look(func(t *Table, now clock.Time) []Letter {
+			answer = t.Hear(now, m)
+			return nil
+		})
+		if m.From.Region == n.c.Self.Region && m.Work != nil {
+			n.c.Heard(m.From.Name, m.Work)
+		}
+		if answer != nil {
+			n.send([]Letter{*answer})
+		}
+	}
+}
+
+func (n *Node) send(letters []Letter) {
+	for _, l := range letters {
+		data, err := msgpack.Marshal(l.Message)
+		if err != nil || len(data) > maxDatagram {
+			n.c.Log.Warn("message can't be sent", zap.Int("bytes", len(data)), zap.Error(err))
+			continue
+		}
+		address, err := net.ResolveUDPAddr("udp4", l.Address)
+		if err != nil {
+			n.c.Log.Warn("bad address", zap.String("address", l.Address), zap.Error(err))
+			continue
+		}
+		// A lost datagram is repeated by the next round.
+		_, _ = n.socket.WriteToUDP(data, address)
+	}
+}
+
+func (n *Node) look(fn func(*Table, clock.Time) []Letter) []Letter {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return fn(n.table, n.c.Clock.Now())
+}
+
+// SetState tells the others of this instance's new state at once.
+func (n *Node) SetState(s State) {
+	n.send(n.look(func(t *Table, now clock.Time) []Letter {
+		t.SetState(s)
+		return t.Farewell(now)
+	}))
+}
+
+// SetSeeds replaces the seeds.
+func (n *Node) SetSeeds(seeds []string) {
+	n.look(func(t *Table, _ clock.Time) []Letter {
+		t.SetSeeds(seeds)
+		return nil
+	})
+}
+
+// View is what is known of the other instances.
+type View struct {
+	Alive      []Record
+	Regions    []Region
+	Neighbours []ident.Entry
+	Known      int
+	Settled    bool
+}
+
+// View returns what is known now.
+func (n *Node) View() (v View) {
+	n.look(func(t *Table, now clock.Time) []Letter {
+		v = View{t.Alive(now), t.Regions(now), t.Neighbours(), t.Known(), t.Settled(now)}
+		return nil
+	})
+	return v
+}
+
+// State returns what this instance says of itself.
+func (n *Node) State() (s State) {
+	n.look(func(t *Table, _ clock.Time) []Letter {
+		s = t.Self().State
+		return nil
+	})
+	return s
+}
--- /dev/null
+++ b/mesh/table.go
@@ -0,0 +1,262 @@
+package mesh
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/pool"
+)
+
+// peer is another instance.
+type peer struct {
+	Record
+	// news is when the counter was last seen to rise, direct when a message of its own came.
+	news   clock.Time
+	direct clock.Time
+	// mutual says that the peer lately heard from this instance.
+	mutual   bool
+	services []pool.Summary
+	summary  clock.Time
+}
+
+// Table is what an instance knows of the others. It is not safe for concurrent use.
+type Table struct {
+	self    Record
+	start   clock.Time
+	peers   map[ident.Entry]*peer
+	seeds   []string
+	nearPos int
+	farPos  int
+	random  *rand.Rand
+}
+
+// NewTable returns a table that knows only the addresses of seeds.
+func NewTable(now clock.Time, self Record, seeds []string, seed uint64) *Table {
+	t := &Table{self: self, start: now, peers: make(map[ident.Entry]*peer), random: rand.New(rand.NewPCG(seed, 1))}
+	t.SetSeeds(seeds)
+	return t
+}
+
+// SetSeeds replaces the addresses that are tried while no instance is known there.
+func (t *Table) SetSeeds(seeds []string) {
+	t.seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == t.self.Mesh })
+}
+
+// SetState changes what this instance says of itself.
+func (t *Table) SetState(s State) { t.self.State = s }
+
+// Self returns this instance's record.
+func (t *Table) Self() Record { return t.self }
+
+// Letter is a message with its receiver's address.
+type Letter struct {
+	Address string
+	Message Message
+}
+
+// Round raises the counter and returns the messages to send.
+func (t *Table) Round(now clock.Time, work []Work, services []pool.Summary) (letters []Letter) {
+	t.self.Counter++
+	near, far := t.split()
+	for _, p := range turn(near, &t.nearPos, nearFan) {
+		m := t.message(now, p)
+		m.Work = work
+		letters = append(letters, Letter{p.Mesh, m})
+	}
+	for _, p := range turn(far, &t.farPos, max(farFan, t.regions())) {
+		m := t.message(now, p)
+		m.Services = services
+		letters = append(letters, Letter{p.Mesh, m})
+	}
+	return append(letters, t.toSeeds(now)...)
+}
+
+// Farewell returns messages that tell all instances of this one's state at once.
+func (t *Table) Farewell(now clock.Time) (letters []Letter) {
+	t.self.Counter++
+	for _, p := range t.peers {
+		letters = append(letters, Letter{p.Mesh, t.message(now, p)})
+	}
+	return letters
+}
+
+func (t *Table) message(now clock.Time, p *peer) Message {
+	return Message{From: t.self, Heard: now.Sub(p.direct) < t.span(), Records: t.sample(now, p.Name)}
+}
+
+// toSeeds greets seeds at which no live instance is known.
+func (t *Table) toSeeds(now clock.Time) (letters []Letter) {
+	for _, s := range t.seeds {
+		known := false
+		for _, p := range t.peers {
+			known = known || p.Mesh == s && t.alive(now, p)
+		}
+		if !known {
+			letters = append(letters, Letter{s, Message{From: t.self, Reply: true}})
+		}
+	}
+	return letters
+}
+
+// split returns the remembered instances of this region and of the others, in the order
+// of their names.
+func (t *Table) split() (near, far []*peer) {
+	for _, name := range slices.Sorted(maps.Keys(t.peers)) {
+		p := t.peers[name]
+		if p.Region == t.self.Region {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	return near, far
+}
+
+func (t *Table) regions() int {
+	seen := make(map[ident.Region]bool)
+	for _, p := range t.peers {
+		seen[p.Region] = true
+	}
+	return len(seen)
+}
+
+// turn takes the next n in a circle.
+func turn(all []*peer, position *int, n int) (next []*peer) {
+	for range min(n, len(all)) {
+		*position = (*position + 1) % len(all)
+		next = append(next, all[*position])
+	}
+	return next
+}
+
+// sample returns some live records for gossip.
+func (t *Table) sample(now clock.Time, to ident.Entry) (records []Record) {
+	for _, p := range t.peers { // the order of a map is random enough
+		if len(records) == gossipRecords {
+			break
+		}
+		if p.Name != to && t.alive(now, p) {
+			records = append(records, p.Record)
+		}
+	}
+	return records
+}
+
+// Hear takes a message and returns the answer to a greeting, or nil.
+func (t *Table) Hear(now clock.Time, m Message) *Letter {
+	if m.From.Name == t.self.Name || m.From.Name == "" {
+		return nil
+	}
+	t.learn(now, m.From)
+	for _, r := range m.Records {
+		t.learn(now, r)
+	}
+	p := t.peers[m.From.Name]
+	if p == nil || p.Incarnation != m.From.Incarnation {
+		return nil
+	}
+	p.direct, p.mutual = now, m.Heard
+	if m.Services != nil {
+		p.services, p.summary = m.Services, now
+	}
+	if m.Reply {
+		return &Letter{p.Mesh, t.message(now, p)}
+	}
+	return nil
+}
+
+// learn takes a record if it is newer than the known one.
+func (t *Table) learn(now clock.Time, r Record) {
+	if r.Name == t.self.Name || r.Name == "" {
+		return
+	}
+	p := t.peers[r.Name]
+	switch {
+	case p == nil:
+		t.peers[r.Name] = &peer{Record: r, news: now}
+	case r.Incarnation > p.Incarnation:
+		*p = peer{Record: r, news: now}
+	case r.Incarnation == p.Incarnation && r.Counter > p.Counter:
+		p.Record, p.news = r, now
+	}
+}
+
+// Forget drops instances that have not been alive for a long time.
+func (t *Table) Forget(now clock.Time) {
+	maps.DeleteFunc(t.peers, func(_ ident.Entry, p *peer) bool { return now.Sub(p.news) > knownSpan })
+}
+
+// span is how long an instance may be silent; in a large fleet its turn comes less often.
+func (t *Table) span() clock.Span {
+	turns := len(t.peers)/(nearFan+farFan) + 1
+	return max(aliveSpan, aliveRounds*clock.Span(turns)*round)
+}
+
+func (t *Table) alive(now clock.Time, p *peer) bool { return now.Sub(p.news) < t.span() }
+
+// Alive returns the instances that are there and not leaving, this one apart.
+func (t *Table) Alive(now clock.Time) (found []Record) {
+	for _, p := range t.peers {
+		if t.alive(now, p) && p.State == Ready {
+			found = append(found, p.Record)
+		}
+	}
+	slices.SortFunc(found, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
+	return found
+}
+
+// Known returns how many instances there may be, this one among them: all that have been
+// alive lately, whether they can be reached or not.
+func (t *Table) Known() int { return len(t.peers) + 1 }
+
+// Neighbours returns the names of all remembered instances of this region, this one among them.
+func (t *Table) Neighbours() []ident.Entry {
+	names := []ident.Entry{t.self.Name}
+	for name, p := range t.peers {
+		if p.Region == t.self.Region {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Settled reports whether the others have had the time to make themselves known.
+func (t *Table) Settled(now clock.Time) bool { return now.Sub(t.start) >= settleSpan }
+
+// Region is what is known of another region.
+type Region struct {
+	Region ident.Region
+	// Hops are the addresses of instances that hear this one and are heard by it.
+	Hops     []string
+	Services []pool.Summary
+}
+
+// Regions returns the other regions that can be reached.
+func (t *Table) Regions(now clock.Time) (regions []Region) {
+	byName := make(map[ident.Region]*Region)
+	newest := make(map[ident.Region]clock.Time)
+	for _, p := range t.peers {
+		if p.Region == t.self.Region || p.State != Ready || !p.mutual || now.Sub(p.direct) >= t.span() {
+			continue
+		}
+		r := byName[p.Region]
+		if r == nil {
+			r = &Region{Region: p.Region}
+			byName[p.Region] = r
+		}
+		r.Hops = append(r.Hops, p.Hop)
+		if p.summary > newest[p.Region] && now.Sub(p.summary) < summaryLife {
+			newest[p.Region], r.Services = p.summary, p.services
+		}
+	}
+	for _, r := range byName {
+		slices.Sort(r.Hops)
+		regions = append(regions, *r)
+	}
+	slices.SortFunc(regions, func(a, b Region) int { return cmp.Compare(a.Region, b.Region) })
+	return regions
+}
--- /dev/null
+++ b/pool/choose.go
@@ -0,0 +1,250 @@
+package pool
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+const (
+	// readRate is how many prompt tokens an engine reads in a ms, for comparing endpoints.
+	readRate = 40.0
+	// readExternality weighs reading that holds up the other requests of an endpoint.
+	readExternality = 1.5
+	// companyCost is by how many ms each request on an engine slows a new one, for comparing endpoints.
+	companyCost = 2.0
+	// homeShare is the part of a prompt that counts as missing at the endpoint that peers
+	// would choose for it as well.
+	homeShare = 0.6
+	// memoryShare is how much of an engine's memory running requests may take before a new
+	// one is expected to wait.
+	memoryShare = 0.9
+	// coldShare is the part of the rate of a cold endpoint that its owner uses, so that two
+	// instances that both take themselves for the owner stay below the bound.
+	coldShare = 0.7
+	// ejectSpan is how long a failing endpoint is left out at first, maxEject at most.
+	ejectSpan = 1500 * clock.Millisecond
+	maxEject  = 12 * clock.Second
+	// ejectRatio is the failure ratio above which an endpoint is left out, and ejectFactor
+	// by how much it must exceed the mean of its service.
+	ejectRatio  = 0.35
+	ejectFactor = 2.0
+	// ejectResults is the least number of results before an endpoint is left out.
+	ejectResults = 5
+	// ejectPart is the largest part of a region's endpoints that is left out.
+	ejectPart = 3
+)
+
+// Choose returns the endpoint of this region with the least expected delay. It returns
+// false if there is none.
+func (p *Pool) Choose(now clock.Time, a Ask) (Choice, bool) {
+	s := p.services[a.Service]
+	if s == nil {
+		return Choice{}, false
+	}
+	var best *endpoint
+	var found Choice
+	lowest := 0.0
+	home := p.home(s, a)
+	p.turn++
+	for i := range s.local {
+		e := s.local[(i+int(p.turn%uint64(len(s.local))))%len(s.local)]
+		if !p.eligible(now, e, a) {
+			continue
+		}
+		w := e.work(now)
+		c, cost := s.judge(now, e, w, a, e == home)
+		if best == nil || cost < lowest {
+			best, found, lowest = e, c, cost
+		}
+	}
+	return found, best != nil
+}
+
+func (p *Pool) eligible(now clock.Time, e *endpoint, a Ask) bool {
+	if !e.usable(now) || p.evacuated[e.Zone] || now.Before(e.fullUntil) || slices.Contains(a.Avoid, e.ID) {
+		return false
+	}
+	if !e.cold(now) || a.ColdRate <= 0 {
+		return true
+	}
+	return p.owns(e) && !now.Before(e.coldNext)
+}
+
+// owns reports whether this instance alone may send to a cold endpoint. The others can't
+// know how much it sends.
+func (p *Pool) owns(e *endpoint) bool {
+	if !p.settled {
+		return false
+	}
+	var owner ident.Entry
+	highest := uint64(0)
+	for _, m := range p.members {
+		if h := xxhash.Sum64String(string(m) + "\x00" + string(e.ID)); owner == "" || h > highest {
+			owner, highest = m, h
+		}
+	}
+	return owner == p.c.Self
+}
+
+// home returns the endpoint that all instances of the region prefer for a prompt's shared
+// parts, so that these are read once.
+func (p *Pool) home(s *service, a Ask) *endpoint {
+	key := shared(a.Parts)
+	if key == 0 {
+		return nil
+	}
+	text := strconv.FormatUint(key, 16)
+	var best *endpoint
+	highest := uint64(0)
+	for _, e := range s.local {
+		if e.Leaving || e.suspect {
+			continue
+		}
+		if h := xxhash.Sum64String(text + string(e.ID)); best == nil || h > highest {
+			best, highest = e, h
+		}
+	}
+	return best
+}
+
+// judge estimates what a request would meet at an endpoint. The cost also counts what the
+// request does to others there.
+func (s *service) judge(now clock.Time, e *endpoint, w work, a Ask, home bool) (Choice, float64) {
+	c := Choice{Endpoint: e.ID, Address: e.Address, Cold: e.cold(now)}
+	slow := e.paceNow(now) * e.slow(now)
+	wait := s.wait(now, e, w)
+	if !a.Engine {
+		c.Wait = clock.Span(wait)
+		delay := wait + s.first*slow
+		c.Delay = clock.Span(delay)
+		return c, delay
+	}
+	c.Missing = a.Prompt - e.cache.has(a.Parts)
+	missing := float64(c.Missing)
+	if home {
+		missing *= homeShare
+	}
+	need := w.holding + c.Missing + a.Output
+	if a.Memory > 0 && float64(need) > float64(a.Memory)*memoryShare {
+		wait += s.hold * (float64(need)/(float64(a.Memory)*memoryShare) - 1 + 0.25)
+	}
+	ahead := float64(w.reading) / readRate
+	read := float64(c.Missing) / readRate
+	delay := wait + (ahead+read+s.first)*slow
+	c.Wait, c.Delay = clock.Span(wait+ahead*slow), clock.Span(delay)
+	cost := wait + (ahead+s.first)*slow + missing/readRate*readExternality*slow + float64(w.count)*companyCost
+	return c, cost
+}
+
+// wait is the expected time until a slot is free, in ms.
+func (s *service) wait(now clock.Time, e *endpoint, w work) float64 {
+	over := w.count + 1 - max(1, e.Slots)
+	if over <= 0 {
+		return 0
+	}
+	return float64(over) * s.hold * e.paceNow(now) * e.slow(now) / float64(max(1, e.Slots))
+}
+
+// Begin records that a request is sent to its choice.
+func (p *Pool) Begin(now clock.Time, a Ask, c Choice) *Send {
+	e := p.endpoints[c.Endpoint]
+	if e == nil {
+		e = newEndpoint(Info{ID: c.Endpoint, Service: a.Service})
+		e.gone = true
+	}
+	s := &Send{endpoint: e, ask: a, choice: c, began: now}
+	e.sends[s] = struct{}{}
+	if a.Engine {
+		e.reading += c.Missing
+		e.holding += c.Missing + a.Output
+		e.cache.use(a.Parts, a.Memory)
+	}
+	if e.cold(now) && a.ColdRate > 0 {
+		e.coldNext = now.Add(clock.Span(float64(clock.Second) / (a.ColdRate * coldShare)))
+	}
+	return s
+}
+
+// First records the first byte of the answer.
+func (p *Pool) First(now clock.Time, s *Send) {
+	if s.answered {
+		return
+	}
+	s.answered = true
+	e := s.endpoint
+	if s.ask.Engine {
+		e.reading -= s.choice.Missing
+	}
+	took := now.Sub(s.began)
+	e.observe(now, took, max(s.choice.Delay, 1))
+	if s.choice.Wait == 0 && e.paceNow(now) <= 1.2 {
+		v := p.service(s.ask.Service)
+		base := float64(took)
+		if s.ask.Engine {
+			base -= float64(s.choice.Missing) / readRate
+		}
+		v.first += 0.02 * (min(max(base, 1), 4*v.first) - v.first)
+	}
+}
+
+// End records how a send ended.
+func (p *Pool) End(now clock.Time, s *Send, o Outcome) {
+	e := s.endpoint
+	if _, ok := e.sends[s]; !ok {
+		return
+	}
+	delete(e.sends, s)
+	if s.ask.Engine {
+		if !s.answered {
+			e.reading -= s.choice.Missing
+		}
+		e.holding -= s.choice.Missing + s.ask.Output
+	}
+	switch o {
+	case Done:
+		e.result(false)
+		v := p.service(s.ask.Service)
+		v.hold += 0.02 * (float64(now.Sub(s.began)-s.choice.Wait) - v.hold)
+		v.hold = max(v.hold, 1)
+	case Full:
+		e.fullUntil = now.Add(fullPause)
+	case Moved, Unreachable, Broken:
+		e.suspect = true
+		e.result(o != Moved)
+	case Failed, Late:
+		e.result(true)
+		if o == Late {
+			e.observe(now, now.Sub(s.began), max(s.choice.Delay, 1))
+		}
+	}
+	p.judgeFailures(now, e)
+}
+
+// judgeFailures leaves an endpoint out that fails much more often than its peers.
+func (p *Pool) judgeFailures(now clock.Time, e *endpoint) {
+	if e.failures < ejectRatio || e.results < ejectResults {
+		return
+	}
+	s := p.service(e.Service)
+	sum, out := 0.0, 0
+	for _, o := range s.local {
+		if o != e {
+			sum += o.failures
+		}
+		if now.Before(o.ejectedUntil) {
+			out++
+		}
+	}
+	others := len(s.local) - 1
+	if others < 1 || out+1 > len(s.local)/ejectPart || e.failures < ejectFactor*sum/float64(others) {
+		return
+	}
+	e.ejectedUntil = now.Add(min(maxEject, ejectSpan<<min(e.ejections, 4)))
+	e.ejections++
+	e.failures, e.results = 0, 0
+}
