perf(pool): read shared prompt parts at one endpoint of all regions

Change: rendezvous hashing picks one endpoint of all regions for a prompt's shared parts; another region's endpoint is reached by one hop when that costs less than reading again.

--- a/bundle/route.go
+++ b/bundle/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
@@ -39,6 +40,11 @@
 	Homes []ident.Region `json:"homes"`
 }
 
+// Allows reports whether the route may be served in a region.
+func (r *Route) Allows(region ident.Region) bool {
+	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
+}
+
 // Target is one service of a route with its weight.
 type Target struct {
 	Service ident.Service `json:"service"`
--- a/gate/events.go
+++ b/gate/events.go
@@ -62,9 +62,6 @@
 		f.lastEvent = id
 	}
 	t.commit(answer)
-	if f.route.Gap > 0 && f.route.Resumable && f.runs+1 < f.route.Attempts {
-		t.silence(stallGaps * f.route.Gap)
-	}
 	if err := f.write(events); err != nil {
 		return err
 	}
--- a/gate/flight.go
+++ b/gate/flight.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,9 +41,6 @@
 	// the first byte, by the expected time.
 	silentFactor = 3
 	silentBase   = 150 * clock.Millisecond
-	// stallGaps is how many of a route's gaps a stream may stand still before it is resumed
-	// at another endpoint.
-	stallGaps = 3
 )
 
 // flight is one request of a caller.
@@ -99,6 +95,7 @@
 	hop    *hop
 	delay  clock.Span
 	wait   clock.Span
+	cost   clock.Span
 	reason string
 }
 
@@ -165,25 +162,24 @@
 	return f.sends < maxSends && waited < f.route.Target/waitShare && f.left() > 4*waitStep
 }
 
-// find returns the place that is expected to answer first.
+// find returns the place that is expected to serve the request best.
 func (f *flight) find() (place, bool) {
-	now := f.s.clock.Now()
-	var local place
-	haveLocal := false
-	if len(f.route.Homes) == 0 || slices.Contains(f.route.Homes, f.s.settings.Region) {
+	var best place
+	found := false
+	home := f.home()
+	if f.route.Allows(f.s.settings.Region) {
 		f.s.state.locked(func(p *pool.Pool, now clock.Time) {
 			c, ok := p.Choose(now, f.ask)
 			if ok {
-				local, haveLocal = place{local: &c, delay: c.Delay, wait: c.Wait}, true
+				best, found = place{local: &c, delay: c.Delay, wait: c.Wait, cost: c.Cost}, true
 			}
 		})
 	}
-	best, found := local, haveLocal
 	if !f.hopped {
 		f.view = f.s.node.View()
-		h, ok := f.s.state.bestHop(now, f.view.Regions, f.route, f.ask, f.avoid, f.s.random())
-		if ok && (!haveLocal || h.delay+hopMargin < local.delay) {
-			best, found = place{hop: &h, delay: h.delay, wait: h.wait}, true
+		h, ok := f.s.state.bestHop(f.s.clock.Now(), f, home)
+		if ok && (!found || h.cost+hopMargin < best.cost) {
+			best, found = place{hop: &h, delay: h.delay, wait: h.wait, cost: h.cost}, true
 		}
 	}
 	if !found {
@@ -197,6 +193,13 @@
 	return best, true
 }
 
+// home returns the region whose endpoint is preferred for the parts of the prompt that
+// requests share, or "" if there is none.
+func (f *flight) home() (region ident.Region) {
+	f.s.state.locked(func(p *pool.Pool, _ clock.Time) { region = p.Home(f.ask, f.route.Homes) })
+	return region
+}
+
 // paid counts the arrival and tells whether the retry budget allows it.
 func (f *flight) paid() bool {
 	if f.sends == 0 {
@@ -292,15 +295,7 @@
 	if !t.f.repeatable() || t.f.runs+1 >= t.f.route.Attempts {
 		return
 	}
-	t.silence(max(t.f.route.Target, silentFactor*t.place.delay+silentBase))
-}
-
-// silence ends the send unless it is called again within the given time.
-func (t *try) silence(limit clock.Span) {
-	if t.timer != nil {
-		t.timer.Reset(limit.Duration())
-		return
-	}
+	limit := max(t.f.route.Target, silentFactor*t.place.delay+silentBase)
 	t.timer = time.AfterFunc(limit.Duration(), func() { t.cancel(errSilent) })
 }
 
@@ -335,6 +330,9 @@
 
 // first records the first byte of the answer.
 func (t *try) first() {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
 	if t.ticket != nil {
 		t.f.s.state.locked(func(p *pool.Pool, now clock.Time) { p.First(now, t.ticket) })
 	}
--- a/gate/hop.go
+++ b/gate/hop.go
@@ -3,10 +3,8 @@
 import (
 	"slices"
 
-	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
-	"github.com/tanagerbridge/tanagerbridge/mesh"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 )
 
@@ -43,28 +41,36 @@
 	address string
 	delay   clock.Span
 	wait    clock.Span
+	// cost is delay and what the request takes from others there.
+	cost clock.Span
 }
 
-// bestHop returns the other region that is expected to answer first. It returns false if
-// none may serve the request or can be reached.
-func (s *state) bestHop(now clock.Time, regions []mesh.Region, r *bundle.Route, a pool.Ask, avoid []string, pick uint64) (best hop, found bool) {
+// bestHop returns the other region that is expected to serve a request best. It returns
+// false if none may serve it or can be reached. home is the region whose endpoint is
+// preferred for the prompt.
+func (s *state) bestHop(now clock.Time, f *flight, home ident.Region) (best hop, found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, g := range regions {
-		if len(r.Homes) > 0 && !slices.Contains(r.Homes, g.Region) {
+	for _, g := range f.view.Regions {
+		if !f.route.Allows(g.Region) {
 			continue
 		}
-		hops := slices.DeleteFunc(slices.Clone(g.Hops), func(h string) bool { return slices.Contains(avoid, h) })
-		i := slices.IndexFunc(g.Services, func(v pool.Summary) bool { return v.Service == a.Service })
+		hops := slices.DeleteFunc(slices.Clone(g.Hops), func(h string) bool { return slices.Contains(f.avoid, h) })
+		i := slices.IndexFunc(g.Services, func(v pool.Summary) bool { return v.Service == f.ask.Service })
 		if len(hops) == 0 || i < 0 {
 			continue
 		}
-		wait := g.Services[i].Wait
-		if over := s.hops.recent(now, hopKey{g.Region, a.Service}) - g.Services[i].Free; over > 0 {
-			wait += clock.Span(over) * a.Target / clock.Span(4*g.Services[i].Slots)
+		v := g.Services[i]
+		wait := v.Wait
+		if over := s.hops.recent(now, hopKey{g.Region, f.ask.Service}) - v.Free; over > 0 {
+			wait += clock.Span(over) * f.ask.Target / clock.Span(4*v.Slots)
 		}
-		h := hop{region: g.Region, address: hops[pick%uint64(len(hops))], wait: wait, delay: wait + hopDelay}
-		if !found || h.delay < best.delay {
+		delay, cost := s.pool.Elsewhere(f.ask, g.Region == home)
+		h := hop{
+			region: g.Region, address: hops[f.s.random()%uint64(len(hops))],
+			wait: wait, delay: wait + delay + hopDelay, cost: wait + cost + hopDelay,
+		}
+		if !found || h.cost < best.cost {
 			best, found = h, true
 		}
 	}
--- a/pool/cache.go
+++ b/pool/cache.go
@@ -97,3 +97,11 @@
 	})
 	return key
 }
+
+// sharedTokens returns the size of the parts that other requests may share.
+func sharedTokens(parts []Part) (n ident.Tokens) {
+	for i := range max(0, len(parts)-1) {
+		n += parts[i].Tokens
+	}
+	return n
+}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -13,16 +13,21 @@
 const (
 	// readRate is how many prompt tokens an engine reads in a ms, for comparing endpoints.
 	readRate = 40.0
-	// readExternality weighs reading that holds up the other requests of an endpoint.
-	readExternality = 1.5
+	// readWeight weighs the reading of a prompt against waiting: it also holds up the other
+	// requests of the endpoint, and what is read again displaces what others need.
+	readWeight = 3.0
 	// companyCost is by how many ms each request on an engine slows a new one, for comparing endpoints.
 	companyCost = 2.0
-	// homeShare is the part of a prompt that counts as missing at the endpoint that peers
-	// would choose for it as well.
-	homeShare = 0.6
+	// homeShare and spareShare are the parts of the shared prompt that count as missing at the
+	// endpoints that all instances prefer for it, first and second.
+	homeShare  = 0.3
+	spareShare = 0.7
 	// memoryShare is how much of an engine's memory running requests may take before a new
 	// one is expected to wait.
 	memoryShare = 0.9
+	// memoryPenalty is the least wait at an endpoint without memory, by the mean time that a
+	// request takes.
+	memoryPenalty = 0.25
 	// coldShare is the part of the rate of a cold endpoint that its owner uses, so that two
 	// instances that both take themselves for the owner stay below the bound.
 	coldShare = 0.7
@@ -49,7 +54,7 @@
 	var best *endpoint
 	var found Choice
 	lowest := 0.0
-	home := p.home(s, a)
+	homes := preferred(s.local, a, nil)
 	p.turn++
 	for i := range s.local {
 		e := s.local[(i+int(p.turn%uint64(len(s.local))))%len(s.local)]
@@ -57,7 +62,14 @@
 			continue
 		}
 		w := e.work(now)
-		c, cost := s.judge(now, e, w, a, e == home)
+		share := 1.0
+		switch e {
+		case homes[0]:
+			share = homeShare
+		case homes[1]:
+			share = spareShare
+		}
+		c, cost := s.judge(now, e, w, a, share)
 		if best == nil || cost < lowest {
 			best, found, lowest = e, c, cost
 		}
@@ -91,53 +103,81 @@
 	return owner == p.c.Self
 }
 
-// home returns the endpoint that all instances of the region prefer for a prompt's shared
-// parts, so that these are read once.
-func (p *Pool) home(s *service, a Ask) *endpoint {
+// preferred returns the two endpoints that all instances prefer for a prompt's shared
+// parts, so that these are read once. The regions are all if none is given.
+func preferred(among []*endpoint, a Ask, regions []ident.Region) (best [2]*endpoint) {
 	key := shared(a.Parts)
 	if key == 0 {
-		return nil
+		return best
 	}
 	text := strconv.FormatUint(key, 16)
-	var best *endpoint
-	highest := uint64(0)
-	for _, e := range s.local {
-		if e.Leaving || e.suspect {
+	var highest [2]uint64
+	for _, e := range among {
+		if e.Leaving || e.gone || e.suspect || len(regions) > 0 && !slices.Contains(regions, e.Region) {
 			continue
 		}
-		if h := xxhash.Sum64String(text + string(e.ID)); best == nil || h > highest {
-			best, highest = e, h
+		h := xxhash.Sum64String(text + string(e.ID))
+		switch {
+		case best[0] == nil || h > highest[0]:
+			best[0], best[1] = e, best[0]
+			highest[0], highest[1] = h, highest[0]
+		case best[1] == nil || h > highest[1]:
+			best[1], highest[1] = e, h
 		}
 	}
 	return best
 }
 
+// Home returns the region of the endpoint that is preferred for a prompt's shared parts
+// among all regions, or "" without such parts.
+func (p *Pool) Home(a Ask, regions []ident.Region) ident.Region {
+	s := p.services[a.Service]
+	if s == nil || !a.Engine {
+		return ""
+	}
+	if best := preferred(s.all, a, regions)[0]; best != nil {
+		return best.Region
+	}
+	return ""
+}
+
+// Elsewhere estimates the delay and the cost of a request in another region beyond the
+// waiting there. home says that the region's endpoint is preferred for the prompt.
+func (p *Pool) Elsewhere(a Ask, home bool) (delay, cost clock.Span) {
+	s := p.service(a.Service)
+	if !a.Engine {
+		return clock.Span(s.first), clock.Span(s.first)
+	}
+	missing := float64(a.Prompt)
+	if home {
+		missing -= float64(sharedTokens(a.Parts)) * (1 - homeShare)
+	}
+	read := missing / readRate
+	return clock.Span(s.first + read), clock.Span(s.first + read*readWeight)
+}
+
 // judge estimates what a request would meet at an endpoint. The cost also counts what the
-// request does to others there.
-func (s *service) judge(now clock.Time, e *endpoint, w work, a Ask, home bool) (Choice, float64) {
+// request does to others there. share is the part of the shared prompt that counts as
+// missing if this instance does not know it to be there.
+func (s *service) judge(now clock.Time, e *endpoint, w work, a Ask, share float64) (Choice, float64) {
 	c := Choice{Endpoint: e.ID, Address: e.Address, Cold: e.cold(now)}
 	slow := e.paceNow(now) * e.slow(now)
 	wait := s.wait(now, e, w)
 	if !a.Engine {
-		c.Wait = clock.Span(wait)
 		delay := wait + s.first*slow
-		c.Delay = clock.Span(delay)
+		c.Wait, c.Delay, c.Cost = clock.Span(wait), clock.Span(delay), clock.Span(delay)
 		return c, delay
 	}
-	c.Missing = a.Prompt - e.cache.has(a.Parts)
-	missing := float64(c.Missing)
-	if home {
-		missing *= homeShare
-	}
+	c.Missing = max(0, a.Prompt-e.cache.has(a.Parts))
+	missing := float64(c.Missing) - (1-share)*min(float64(c.Missing), float64(sharedTokens(a.Parts)))
 	need := w.holding + c.Missing + a.Output
-	if a.Memory > 0 && float64(need) > float64(a.Memory)*memoryShare {
-		wait += s.hold * (float64(need)/(float64(a.Memory)*memoryShare) - 1 + 0.25)
+	if limit := float64(a.Memory) * memoryShare; limit > 0 && float64(need) > limit {
+		wait += s.hold * (float64(need)/limit - 1 + memoryPenalty)
 	}
 	ahead := float64(w.reading) / readRate
-	read := float64(c.Missing) / readRate
-	delay := wait + (ahead+read+s.first)*slow
-	c.Wait, c.Delay = clock.Span(wait+ahead*slow), clock.Span(delay)
-	cost := wait + (ahead+s.first)*slow + missing/readRate*readExternality*slow + float64(w.count)*companyCost
+	delay := wait + (ahead+missing/readRate+s.first)*slow
+	cost := wait + (ahead+s.first)*slow + missing/readRate*readWeight*slow + float64(w.count)*companyCost
+	c.Wait, c.Delay, c.Cost = clock.Span(wait+ahead*slow), clock.Span(delay), clock.Span(cost)
 	return c, cost
 }
 
--- a/pool/doc.go
+++ b/pool/doc.go
@@ -67,6 +67,8 @@
 	Delay clock.Span
 	// Wait is the part of Delay before the endpoint begins to run the request.
 	Wait clock.Span
+	// Cost is Delay and what the request takes from others, for comparing places.
+	Cost clock.Span
 	// Missing is the part of the prompt that the endpoint has to read.
 	Missing ident.Tokens
 	Cold    bool
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -47,6 +47,8 @@
 // service is what the endpoints of one service have in common.
 type service struct {
 	local []*endpoint
+	// all are the endpoints of all regions.
+	all []*endpoint
 	// hold is the mean time that a request takes at an endpoint.
 	hold float64
 	// first is the mean time to the first byte without waiting or reading.
@@ -151,12 +153,16 @@
 
 func (p *Pool) index() {
 	for _, s := range p.services {
-		s.local = s.local[:0]
+		s.local, s.all = s.local[:0], s.all[:0]
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.endpoints)) {
 		e := p.endpoints[id]
-		if e.Region == p.c.Region && !e.gone {
-			s := p.service(e.Service)
+		if e.gone {
+			continue
+		}
+		s := p.service(e.Service)
+		s.all = append(s.all, e)
+		if e.Region == p.c.Region {
 			s.local = append(s.local, e)
 		}
 	}
@@ -270,7 +276,8 @@
 	// Free is the number of free slots, Slots the number of all.
 	Free  int
 	Slots int
-	// Wait is the expected wait of a new request at the best endpoint.
+	// Wait is the expected wait of a new request at the best endpoint, with the mean time
+	// until the prompts before it are read.
 	Wait clock.Span
 }
 
@@ -278,6 +285,7 @@
 func (p *Pool) Summaries(now clock.Time) (all []Summary) {
 	for name, s := range p.services {
 		sum := Summary{Service: name, Wait: -1}
+		reading, usable := ident.Tokens(0), 0
 		for _, e := range s.local {
 			if !e.usable(now) || p.evacuated[e.Zone] || e.cold(now) {
 				continue
@@ -285,12 +293,15 @@
 			w := e.work(now)
 			sum.Slots += e.Slots
 			sum.Free += max(0, e.Slots-w.count)
+			reading += w.reading
+			usable++
 			wait := clock.Span(s.wait(now, e, w))
 			if sum.Wait < 0 || wait < sum.Wait {
 				sum.Wait = wait
 			}
 		}
 		if sum.Slots > 0 {
+			sum.Wait += clock.Span(float64(reading) / float64(usable) / readRate)
 			all = append(all, sum)
 		}
 	}
