perf(pool): rank the preferred endpoint among all regions

Change: preference is ranked among all allowed regions, with lower ranks for the second choice and for the region's own; a suspected endpoint stays preferred; a hop runs on one endpoint and the first instance counts.

--- a/gate/flight.go
+++ b/gate/flight.go
@@ -72,8 +72,9 @@
 	// held is an endpoint's failure that is passed on if no further send does better.
 	held *heldAnswer
 	// spot is where the last send went, for the log.
-	spot    string
-	version ident.Version
+	spot string
+	// missing is how much of the prompt the last endpoint was expected to read.
+	missing ident.Tokens
 	last    string
 }
 
@@ -196,7 +197,7 @@
 // home returns the region whose endpoint is preferred for the parts of the prompt that
 // requests share, or "" if there is none.
 func (f *flight) home() (region ident.Region) {
-	f.s.state.locked(func(p *pool.Pool, _ clock.Time) { region = p.Home(f.ask, f.route.Homes) })
+	f.s.state.locked(func(p *pool.Pool, _ clock.Time) { region = p.Home(f.ask) })
 	return region
 }
 
@@ -223,7 +224,16 @@
 
 // repeatable reports whether the request may be sent again after it may have run.
 func (f *flight) repeatable() bool {
-	return f.route.Repeatable() && f.runs < f.route.Attempts
+	return f.route.Repeatable() && f.runs < f.attempts()
+}
+
+// attempts is how many endpoints may run the request from here. The instance that passed
+// a request on counts its runs, so that it stays within the route's attempts.
+func (f *flight) attempts() int {
+	if f.hopped {
+		return 1
+	}
+	return f.route.Attempts
 }
 
 // send sends the request to a place and passes the answer on.
@@ -236,7 +246,7 @@
 		address = p.hop.address
 		f.s.state.hopped(now, p.hop.region, f.ask.Service)
 	} else {
-		address = p.local.Address
+		address, f.missing = p.local.Address, p.local.Missing
 		forward.Endpoint, forward.Priority, forward.Ranked = p.local.Endpoint, f.route.Priority, f.ask.Engine
 		f.s.state.locked(func(o *pool.Pool, now clock.Time) { t.ticket = o.Begin(now, f.ask, *p.local) })
 	}
@@ -292,7 +302,7 @@
 
 // arm bounds the wait for the first byte if another endpoint may be tried instead.
 func (t *try) arm() {
-	if !t.f.repeatable() || t.f.runs+1 >= t.f.route.Attempts {
+	if !t.f.repeatable() || t.f.runs+1 >= t.f.attempts() {
 		return
 	}
 	limit := max(t.f.route.Target, silentFactor*t.place.delay+silentBase)
@@ -385,6 +395,6 @@
 	f.s.metrics.ended(f.route.Name, outcome, int64(total))
 	f.s.log.Info("request", zap.String("request", f.head.Attempt), zap.String("outcome", outcome), zap.Int("status", status),
 		zap.String("route", f.route.Name), zap.String("to", f.spot), zap.String("last", f.last), zap.Int("sends", f.sends),
-		zap.Bool("hopped", f.hopped), zap.Uint64("version", uint64(f.table.Version)), zap.Int64("total", int64(total)),
+		zap.Bool("hopped", f.hopped), zap.Int("missing", int(f.missing)), zap.Int("prompt", int(f.head.Prompt)), zap.Uint64("version", uint64(f.table.Version)), zap.Int64("total", int64(total)),
 		zap.Int64("left", int64(f.left())))
 }
--- a/gate/front.go
+++ b/gate/front.go
@@ -72,7 +72,7 @@
 		arrived: arrived, deadline: arrived.Add(limit), lastEvent: head.LastEvent,
 		ask: pool.Ask{
 			Service: service, Engine: backend.Engine, Memory: backend.Memory, ColdRate: backend.ColdRate,
-			Parts: head.Parts, Prompt: head.Prompt, Output: head.Output, Target: route.Target,
+			Parts: head.Parts, Prompt: head.Prompt, Output: head.Output, Target: route.Target, Homes: route.Homes,
 		},
 	}
 }
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -19,9 +19,11 @@
 	// companyCost is by how many ms each request on an engine slows a new one, for comparing endpoints.
 	companyCost = 2.0
 	// homeShare and spareShare are the parts of the shared prompt that count as missing at the
-	// endpoints that all instances prefer for it, first and second.
-	homeShare  = 0.3
-	spareShare = 0.7
+	// endpoints that all instances prefer for it, first and second; nearShare is the part at
+	// the one that is preferred in this region.
+	homeShare  = 0.25
+	spareShare = 0.6
+	nearShare  = 0.8
 	// memoryShare is how much of an engine's memory running requests may take before a new
 	// one is expected to wait.
 	memoryShare = 0.9
@@ -54,7 +56,7 @@
 	var best *endpoint
 	var found Choice
 	lowest := 0.0
-	homes := preferred(s.local, a, nil)
+	homes, near := preferred(s.all, a), preferred(s.local, a)
 	p.turn++
 	for i := range s.local {
 		e := s.local[(i+int(p.turn%uint64(len(s.local))))%len(s.local)]
@@ -68,6 +70,8 @@
 			share = homeShare
 		case homes[1]:
 			share = spareShare
+		case near[0]:
+			share = nearShare
 		}
 		c, cost := s.judge(now, e, w, a, share)
 		if best == nil || cost < lowest {
@@ -104,8 +108,8 @@
 }
 
 // preferred returns the two endpoints that all instances prefer for a prompt's shared
-// parts, so that these are read once. The regions are all if none is given.
-func preferred(among []*endpoint, a Ask, regions []ident.Region) (best [2]*endpoint) {
+// parts, so that these are read once.
+func preferred(among []*endpoint, a Ask) (best [2]*endpoint) {
 	key := shared(a.Parts)
 	if key == 0 {
 		return best
@@ -113,7 +117,7 @@
 	text := strconv.FormatUint(key, 16)
 	var highest [2]uint64
 	for _, e := range among {
-		if e.Leaving || e.gone || e.suspect || len(regions) > 0 && !slices.Contains(regions, e.Region) {
+		if e.Leaving || e.gone || len(a.Homes) > 0 && !slices.Contains(a.Homes, e.Region) {
 			continue
 		}
 		h := xxhash.Sum64String(text + string(e.ID))
@@ -130,12 +134,12 @@
 
 // Home returns the region of the endpoint that is preferred for a prompt's shared parts
 // among all regions, or "" without such parts.
-func (p *Pool) Home(a Ask, regions []ident.Region) ident.Region {
+func (p *Pool) Home(a Ask) ident.Region {
 	s := p.services[a.Service]
 	if s == nil || !a.Engine {
 		return ""
 	}
-	if best := preferred(s.all, a, regions)[0]; best != nil {
+	if best := preferred(s.all, a)[0]; best != nil {
 		return best.Region
 	}
 	return ""
--- a/pool/doc.go
+++ b/pool/doc.go
@@ -55,6 +55,8 @@
 	Output ident.Tokens
 	// Target is the time until the first byte within which the answer earns most.
 	Target clock.Span
+	// Homes are the regions that may serve the request; none means all.
+	Homes []ident.Region
 	// Avoid holds endpoints that have failed this request.
 	Avoid []ident.Endpoint
 }
