fix(gate): name a restarting home instead of other regions

Change: instances that have lately begun to leave are named before regions that may not see the data; an answer is valid for 1 s and a leaving instance lingers for 2 s.

--- a/gate/directory.go
+++ b/gate/directory.go
@@ -12,7 +12,7 @@
 
 const (
 	// validity is how long callers use an answer of the directory, if the settings allow it.
-	validity = 2 * clock.Second
+	validity = 1 * clock.Second
 	// maxNamed bounds the instances that an answer names.
 	maxNamed = 64
 )
@@ -47,9 +47,31 @@
 }
 
 func (s *Server) locate(q Question) []string {
-	var near, allowed, rest []string
+	view := s.node.View()
+	alive := view.Alive
+	self := mesh.Record{Region: s.settings.Region, Front: s.settings.Front}
+	if s.state.ready() && !s.draining.Load() {
+		alive = append(alive, self)
+	}
+	near, allowed, rest := s.sorted(q, alive)
+	if len(near)+len(allowed) == 0 {
+		// During a rolling restart the replacements are there within seconds; until then a
+		// caller's data must not be led elsewhere.
+		near, allowed, _ = s.sorted(q, view.Stopping)
+	}
+	for _, named := range [][]string{near, allowed, rest} {
+		if len(named) > 0 {
+			return s.some(named)
+		}
+	}
+	return nil
+}
+
+// sorted divides instances into those of the caller's region, those of regions that may
+// see all that the host's callers send, and the rest.
+func (s *Server) sorted(q Question, instances []mesh.Record) (near, allowed, rest []string) {
 	table := s.state.table.Load()
-	add := func(r mesh.Record) {
+	for _, r := range instances {
 		switch {
 		case r.Region == q.Region:
 			near = append(near, r.Front)
@@ -59,18 +81,7 @@
 			rest = append(rest, r.Front)
 		}
 	}
-	for _, r := range s.node.View().Alive {
-		add(r)
-	}
-	if s.state.ready() && !s.draining.Load() {
-		add(mesh.Record{Region: s.settings.Region, Front: s.settings.Front})
-	}
-	for _, named := range [][]string{near, allowed, rest} {
-		if len(named) > 0 {
-			return s.some(named)
-		}
-	}
-	return nil
+	return near, allowed, rest
 }
 
 // some returns as many addresses as an answer may name.
--- a/gate/drain.go
+++ b/gate/drain.go
@@ -18,8 +18,9 @@
 	// defaultGrace is the time to stop if the settings name none.
 	defaultGrace = 10 * clock.Second
 	// linger is how long a leaving instance still takes requests: callers use an answer of
-	// the directory for some seconds after it was given.
-	linger = 3 * clock.Second
+	// the directory for up to three times its validity, but those of the region must not be
+	// without an instance for long.
+	linger = 2 * clock.Second
 	// lastMoment is how long before the kill what is still in progress is cut off.
 	lastMoment = 300 * clock.Millisecond
 )
--- a/gate/flight.go
+++ b/gate/flight.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/bundle"
@@ -241,7 +242,7 @@
 	now := f.s.clock.Now()
 	t := &try{f: f, place: p, began: now}
 	forward := Forward{Left: max(1, f.left()-timeMargin), LastEvent: f.lastEvent}
-	address := ""
+	var address string
 	if p.hop != nil {
 		address = p.hop.address
 		f.s.state.hopped(now, p.hop.region, f.ask.Service)
@@ -371,7 +372,7 @@
 		t.end(pool.Canceled)
 		f.done("left", 0)
 		return ended
-	case cause != nil && cause != error(errSilent):
+	case cause != nil && !errors.Is(cause, errSilent):
 		t.end(pool.Late)
 		f.timedOut()
 		return ended
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -47,11 +47,12 @@
 	go s.run()
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
-	core := zapcore.Core(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), s, level))
-	if c.Rate > 0 {
-		core = &limited{Core: core, limit: &limit{rate: int64(c.Rate), sink: s}}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), s, level)
+	if c.Rate == 0 {
+		return &Logger{Logger: zap.New(core), sink: s}, nil
 	}
-	return &Logger{Logger: zap.New(core), sink: s}, nil
+	bounded := &limited{Core: core, limit: &limit{rate: int64(c.Rate), sink: s}}
+	return &Logger{Logger: zap.New(bounded), sink: s}, nil
 }
 
 // Close writes the lines that wait. No line may be logged after it.
--- /dev/null
+++ b/logs/logs_test.go
@@ -0,0 +1,75 @@
+package logs_test
+
+import (
+	"bytes"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/logs"
+)
+
+// Guards against lines that are lost at the end, and against a bad level that is accepted.
+func TestCloseWritesAll(t *testing.T) {
+	var out bytes.Buffer
+	l, err := logs.New(logs.Config{Out: &out, Level: "info"})
+	require.NoError(t, err)
+	for range 100 {
+		l.Info("line")
+	}
+	l.Debug("hidden")
+	l.Close()
+	require.Equal(t, 100, strings.Count(out.String(), "\n"))
+	_, err = logs.New(logs.Config{Out: &out, Level: "loud"})
+	require.ErrorContains(t, err, "log level")
+}
+
+// Guards against a volume that grows with the load, and against warnings that are dropped.
+func TestRateIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	l, err := logs.New(logs.Config{Out: &out, Level: "info", Rate: 10})
+	require.NoError(t, err)
+	began := time.Now()
+	for range 1000 {
+		l.Info("line")
+	}
+	l.Warn("important")
+	l.Close()
+	seconds := int(time.Since(began).Seconds()) + 2
+	require.LessOrEqual(t, strings.Count(out.String(), `"line"`), 10*seconds)
+	require.Contains(t, out.String(), "important")
+}
+
+// stuck is a writer that does not return until it is released.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(b []byte) (int, error) {
+	<-s.release
+	return len(b), nil
+}
+
+// Guards against a full pipe that holds up the code that logs, and against drops that are not counted.
+func TestNeverBlocks(t *testing.T) {
+	var dropped atomic.Int64
+	w := stuck{make(chan struct{})}
+	l, err := logs.New(logs.Config{Out: w, Level: "info", Dropped: func(n int64) { dropped.Add(n) }})
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		for range 10_000 {
+			l.Info("line")
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("logging blocks")
+	}
+	close(w.release)
+	require.Eventually(t, func() bool { return dropped.Load() > 0 }, 10*time.Second, 10*time.Millisecond)
+	l.Close()
+}
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -97,6 +97,8 @@
 	settleSpan = 5 * clock.Second
 	// summaryLife is how long what another region tells of its services counts.
 	summaryLife = 2 * clock.Second
+	// replaceSpan is how long after it began to leave an instance's replacement is expected.
+	replaceSpan = 15 * clock.Second
 	// maxDatagram bounds a message in bytes; larger ones would be fragmented into many packets.
 	maxDatagram = 8 << 10
 )
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -153,6 +153,7 @@
 // View is what is known of the other instances.
 type View struct {
 	Alive      []Record
+	Stopping   []Record
 	Regions    []Region
 	Neighbours []ident.Entry
 	Known      int
@@ -162,7 +163,10 @@
 // View returns what is known now.
 func (n *Node) View() (v View) {
 	n.look(func(t *Table, now clock.Time) []Letter {
-		v = View{t.Alive(now), t.Regions(now), t.Neighbours(), t.Known(), t.Settled(now)}
+		v = View{
+			Alive: t.Alive(now), Stopping: t.Stopping(now), Regions: t.Regions(now),
+			Neighbours: t.Neighbours(), Known: t.Known(), Settled: t.Settled(now),
+		}
 		return nil
 	})
 	return v
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -218,6 +218,18 @@
 	return found
 }
 
+// Stopping returns the instances that have lately begun to leave: each is replaced at its
+// address within seconds.
+func (t *Table) Stopping(now clock.Time) (found []Record) {
+	for _, p := range t.peers {
+		if p.State == Leaving && now.Sub(p.news) < replaceSpan {
+			found = append(found, p.Record)
+		}
+	}
+	slices.SortFunc(found, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
+	return found
+}
+
 // Known returns how many instances there may be, this one among them: all that have been
 // alive lately, whether they can be reached or not.
 func (t *Table) Known() int { return len(t.peers) + 1 }
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -62,7 +62,7 @@
 		w := newNet(n, 3)
 		w.round(rounds)
 		for _, table := range w.tables {
-			require.Equal(t, n-1, len(table.Alive(w.now)))
+			require.Len(t, table.Alive(w.now), n-1)
 			require.Equal(t, n, table.Known())
 		}
 	}
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -174,7 +174,7 @@
 // learn takes what an answer says about how long the connection is kept.
 func (c *conn) learn(h http.Header) {
 	c.keep = defaultIdle
-	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		seconds, err := strconv.Atoi(value)
 		if err == nil && strings.EqualFold(name, "timeout") {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -55,10 +55,10 @@
 	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
 }
 
-func request(method, id string, body []byte) *relay.Request {
+func request(method string, body []byte) *relay.Request {
 	return &relay.Request{
-		Method: method, URI: "/a%2fb?x=1", Host: "h.example", Header: http.Header{"X-Id": {id}}, Body: body,
-		Belongs: func(h http.Header) bool { return h.Get("X-Id") == id },
+		Method: method, URI: "/a%2fb?x=1", Host: "h.example", Header: http.Header{"X-Id": {"1"}}, Body: body,
+		Belongs: func(h http.Header) bool { return h.Get("X-Id") == "1" },
 	}
 }
 
@@ -83,7 +83,7 @@
 	})
 	p := relay.NewPool(relay.Config{Address: address})
 	for range 3 {
-		got, err := exchange(t.Context(), p, request("POST", "1", []byte("body")))
+		got, err := exchange(t.Context(), p, request("POST", []byte("body")))
 		require.NoError(t, err)
 		require.Equal(t, "body", got)
 	}
@@ -97,7 +97,7 @@
 	require.NoError(t, err)
 	address := l.Addr().String()
 	require.NoError(t, l.Close())
-	_, err = exchange(t.Context(), relay.NewPool(relay.Config{Address: address}), request("GET", "1", nil))
+	_, err = exchange(t.Context(), relay.NewPool(relay.Config{Address: address}), request("GET", nil))
 	require.Equal(t, relay.Unsent, fault.KindOf[relay.Kind](err))
 
 	for name, answer := range map[string]string{
@@ -111,7 +111,7 @@
 				text(c, answer)
 				return false
 			})
-			_, err := exchange(t.Context(), relay.NewPool(relay.Config{Address: address}), request("GET", "1", nil))
+			_, err := exchange(t.Context(), relay.NewPool(relay.Config{Address: address}), request("GET", nil))
 			require.Equal(t, relay.Broken, fault.KindOf[relay.Kind](err))
 		})
 	}
@@ -128,9 +128,9 @@
 		return false
 	})
 	p := relay.NewPool(relay.Config{Address: address})
-	_, err := exchange(t.Context(), p, request("GET", "1", nil))
+	_, err := exchange(t.Context(), p, request("GET", nil))
 	require.Equal(t, relay.Broken, fault.KindOf[relay.Kind](err))
-	got, err := exchange(t.Context(), p, request("GET", "1", nil))
+	got, err := exchange(t.Context(), p, request("GET", nil))
 	require.NoError(t, err)
 	require.Equal(t, "body", got)
 }
@@ -140,7 +140,7 @@
 	address, _ := endpoint(t, func(_ int, r *http.Request, c net.Conn) bool {
 		return text(c, ok("0", "late")+ok(r.Header.Get("X-Id"), "mine"))
 	})
-	got, err := exchange(t.Context(), relay.NewPool(relay.Config{Address: address}), request("GET", "1", nil))
+	got, err := exchange(t.Context(), relay.NewPool(relay.Config{Address: address}), request("GET", nil))
 	require.NoError(t, err)
 	require.Equal(t, "mine", got)
 }
@@ -162,7 +162,7 @@
 			address, connections := endpoint(t, func(_ int, _ *http.Request, c net.Conn) bool { return answer(c) })
 			p := relay.NewPool(relay.Config{Address: address})
 			for range 3 {
-				got, err := exchange(t.Context(), p, request("GET", "1", nil))
+				got, err := exchange(t.Context(), p, request("GET", nil))
 				require.NoError(t, err)
 				require.Equal(t, "body", got)
 				time.Sleep(20 * time.Millisecond)
@@ -197,7 +197,7 @@
 	p := relay.NewPool(relay.Config{Address: l.Addr().String()})
 	body := make([]byte, 32<<20) // more than the sockets hold
 	for range 2 {
-		got, err := exchange(t.Context(), p, request("POST", "1", body))
+		got, err := exchange(t.Context(), p, request("POST", body))
 		require.NoError(t, err)
 		require.Equal(t, "no", got)
 	}
@@ -214,7 +214,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	_, err := exchange(ctx, relay.NewPool(relay.Config{Address: address}), request("GET", "1", nil))
+	_, err := exchange(ctx, relay.NewPool(relay.Config{Address: address}), request("GET", nil))
 	require.Equal(t, relay.Broken, fault.KindOf[relay.Kind](err))
 	select {
 	case <-closed:
--- a/store/follow.go
+++ b/store/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -110,9 +111,7 @@
 
 func (s Snapshot) apply(c Changes, read clock.Time) Snapshot {
 	next := Snapshot{Items: make(map[string]Item, len(s.Items)), At: max(s.At, c.At), Read: read}
-	for k, i := range s.Items {
-		next.Items[k] = i
-	}
+	maps.Copy(next.Items, s.Items)
 	for _, e := range c.Events {
 		if e.Deleted {
 			delete(next.Items, e.Key)
