--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -20,6 +20,7 @@
 // endpoint answers each request on a connection with what answer writes. It returns the
 // address and the number of connections so far.
 func endpoint(t *testing.T, answer func(n int, r *http.Request, c net.Conn) bool) (string, *atomic.Int64) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
--- a/store/follow_test.go
+++ b/store/follow_test.go
@@ -115,6 +115,7 @@
 
 // follow runs a follower and returns a function that gives the newest content.
 func follow(t *testing.T, r *reader, wait clock.Span) func() map[string]string {
+	t.Helper()
 	var mu sync.Mutex
 	var last store.Snapshot
 	f := store.NewFollower(store.Config{
