perf(gate): refuse what is expected to be late

Cause: with answers admitted up to three times their target, engines ran behind by a second or more, most answers were late and prompts were read at endpoints that did not hold their parts; callers came back before the wait was over and were refused again. Change: requests are refused when an answer is expected to take more than 1.2 of the target, and asked to come back after the whole expected wait.

--- a/gate/flight.go
+++ b/gate/flight.go
@@ -29,9 +29,9 @@
 	waitStep = 15 * clock.Millisecond
 	// waitShare is the part of a route's target for which a request waits for an endpoint.
 	waitShare = 8
-	// lateFactor is how many times its target an answer may be expected to take before
-	// the request is refused.
-	lateFactor = 3
+	// lateShare is the part of its target that an answer may be expected to take before the
+	// request is refused, in percent: work that comes too late delays the work behind it.
+	lateShare = 120
 	// timeMargin is by how much an endpoint's time limit lies before the caller's.
 	timeMargin = 10 * clock.Millisecond
 	// minRetryAfter is the least time after which a caller is asked to come back.
@@ -188,7 +188,7 @@
 		best.reason = "no endpoint"
 		return best, false
 	}
-	if best.wait > 0 && best.delay > lateFactor*f.route.Target {
+	if best.wait > 0 && best.delay > f.route.Target*lateShare/100 {
 		best.reason = "overload"
 		return best, false
 	}
@@ -219,7 +219,7 @@
 	case f.unsure:
 		f.fail(http.StatusBadGateway, p.reason)
 	default:
-		f.refuse(p.reason, max(minRetryAfter, p.wait/2))
+		f.refuse(p.reason, max(minRetryAfter, p.wait))
 	}
 }
 
