perf(pool): weigh reading by how far engines are behind with it

Cause: engines that were behind spilled prompts to endpoints that did not hold their parts, which made all engines read more. Change: the weight of reading grows with the mean backlog of the region's engines, up to four times.

--- a/gate/hop.go
+++ b/gate/hop.go
@@ -65,7 +65,7 @@
 		if over := s.hops.recent(now, hopKey{g.Region, f.ask.Service}) - v.Free; over > 0 {
 			wait += clock.Span(over) * f.ask.Target / clock.Span(4*v.Slots)
 		}
-		delay, cost := s.pool.Elsewhere(f.ask, g.Region == home)
+		delay, cost := s.pool.Elsewhere(now, f.ask, g.Region == home)
 		h := hop{
 			region: g.Region, address: hops[f.s.random()%uint64(len(hops))],
 			wait: wait, delay: wait + delay + hopDelay, cost: wait + cost + hopDelay,
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -16,6 +16,10 @@
 	// readWeight weighs the reading of a prompt against waiting: it also holds up the other
 	// requests of the endpoint, and what is read again displaces what others need.
 	readWeight = 3.0
+	// pressureSpan is the mean backlog of reading, in ms, at which reading weighs twice as
+	// much, and maxPressure bounds that factor: the busier the engines, the less is read again.
+	pressureSpan = 100.0
+	maxPressure  = 4.0
 	// companyCost is by how many ms each request on an engine slows a new one, for comparing endpoints.
 	companyCost = 2.0
 	// homeShare and spareShare are the parts of the shared prompt that count as missing at the
@@ -56,6 +60,7 @@
 	var best *endpoint
 	var found Choice
 	lowest := 0.0
+	a.weight = s.readWeight(now)
 	homes, near := preferred(s.all, a), preferred(s.local, a)
 	p.turn++
 	for i := range s.local {
@@ -81,6 +86,19 @@
 	return found, best != nil
 }
 
+// readWeight weighs reading by how far the engines of this region are behind with it.
+func (s *service) readWeight(now clock.Time) float64 {
+	if len(s.local) == 0 {
+		return readWeight
+	}
+	behind := ident.Tokens(0)
+	for _, e := range s.local {
+		behind += e.work(now).reading
+	}
+	ms := float64(behind) / readRate / float64(len(s.local))
+	return readWeight * min(maxPressure, 1+ms/pressureSpan)
+}
+
 func (p *Pool) eligible(now clock.Time, e *endpoint, a Ask) bool {
 	if !e.usable(now) || p.evacuated[e.Zone] || now.Before(e.fullUntil) || slices.Contains(a.Avoid, e.ID) {
 		return false
@@ -147,7 +165,7 @@
 
 // Elsewhere estimates the delay and the cost of a request in another region beyond the
 // waiting there. home says that the region's endpoint is preferred for the prompt.
-func (p *Pool) Elsewhere(a Ask, home bool) (delay, cost clock.Span) {
+func (p *Pool) Elsewhere(now clock.Time, a Ask, home bool) (delay, cost clock.Span) {
 	s := p.service(a.Service)
 	if !a.Engine {
 		return clock.Span(s.first), clock.Span(s.first)
@@ -157,7 +175,7 @@
 		missing -= float64(sharedTokens(a.Parts)) * (1 - homeShare)
 	}
 	read := missing / readRate
-	return clock.Span(s.first + read), clock.Span(s.first + read*readWeight)
+	return clock.Span(s.first + read), clock.Span(s.first + read*s.readWeight(now))
 }
 
 // judge estimates what a request would meet at an endpoint. The cost also counts what the
@@ -180,7 +198,7 @@
 	}
 	ahead := float64(w.reading) / readRate
 	delay := wait + (ahead+missing/readRate+s.first)*slow
-	cost := wait + (ahead+s.first)*slow + missing/readRate*readWeight*slow + float64(w.count)*companyCost
+	cost := wait + (ahead+s.first)*slow + missing/readRate*a.weight*slow + float64(w.count)*companyCost
 	c.Wait, c.Delay, c.Cost = clock.Span(wait+ahead*slow), clock.Span(delay), clock.Span(cost)
 	return c, cost
 }
--- a/pool/doc.go
+++ b/pool/doc.go
@@ -59,6 +59,9 @@
 	Homes []ident.Region
 	// Avoid holds endpoints that have failed this request.
 	Avoid []ident.Endpoint
+
+	// weight weighs reading against waiting.
+	weight float64
 }
 
 // Choice is the endpoint for a request.
