perf(gate): let the bounds of the settings pace the calls to the store

Change: the list is read three times and the watch renewed twice in the time in which what is published must take effect, instead of every 0.7 and 1.5 s.

--- a/gate/doc.go
+++ b/gate/doc.go
@@ -60,6 +60,10 @@
 	Validity clock.Span
 	// Store is the address of the key-value store.
 	Store string
+	// ListBound is the time in which a departure on the list of endpoints must take effect,
+	// ControlBound the same for a change of the configuration; 0 for the defaults.
+	ListBound    clock.Span
+	ControlBound clock.Span
 }
 
 // RetryBounds limits the retries of all instances together.
@@ -76,7 +80,7 @@
 		return fault.Newf("settings", Invalid, "name is empty")
 	case s.Region == "":
 		return fault.Newf("settings", Invalid, "region is empty")
-	case s.Grace < 0 || s.Validity < 0:
+	case s.Grace < 0 || s.Validity < 0 || s.ListBound < 0 || s.ControlBound < 0:
 		return fault.Newf("settings", Invalid, "negative time")
 	case s.HopPort < 0 || s.HopPort > 65535:
 		return fault.Newf("settings", Invalid, "hop port %d", s.HopPort)
--- a/gate/server.go
+++ b/gate/server.go
@@ -25,12 +25,18 @@
 	headerTimeout = 10 * time.Second
 	// headerBytes bounds the head of a request; the table's own limit is lower.
 	headerBytes = 64 << 10
-	// listInterval is the pause between two readings of the list of endpoints.
-	listInterval = 700 * clock.Millisecond
+	// defaultBound is the time in which what is published must take effect if the settings
+	// name none.
+	defaultBound = 3 * clock.Second
+	// listShare is into how many parts that time is divided for the pause between two readings
+	// of the list of endpoints, and controlShare for one wait of the watch for the
+	// configuration. Each call is paid for.
+	listShare    = 3
+	controlShare = 2
+	// maxListInterval bounds that pause: a longer one would be taken for an outage.
+	maxListInterval = 1500 * clock.Millisecond
 	// controlInterval is how often the whole configuration is read again beside the watch.
 	controlInterval = 6 * clock.Second
-	// controlWait is how long one watch for the configuration waits.
-	controlWait = 1500 * clock.Millisecond
 	// checkPause is the pause between two looks for endpoints to check.
 	checkPause = 50 * clock.Millisecond
 	// trimPause is the pause between two closings of idle connections.
@@ -160,11 +166,11 @@
 // run starts the loops that keep the instance's view up to date.
 func (s *Server) run(ctx context.Context, source Source) {
 	list := store.NewFollower(store.Config{
-		Reader: source, Clock: s.clock, Prefix: source.EndpointPrefix(), Interval: listInterval,
+		Reader: source, Clock: s.clock, Prefix: source.EndpointPrefix(), Interval: min(maxListInterval, orDefault(s.settings.ListBound)/listShare),
 		Changed: s.state.listChanged, Failed: s.state.storeFailed("endpoints"),
 	})
 	control := store.NewFollower(store.Config{
-		Reader: source, Clock: s.clock, Prefix: source.ControlPrefix(), Interval: controlInterval, Wait: controlWait,
+		Reader: source, Clock: s.clock, Prefix: source.ControlPrefix(), Interval: controlInterval, Wait: orDefault(s.settings.ControlBound) / controlShare,
 		Changed: s.state.controlChanged, Failed: s.state.storeFailed("control"),
 	})
 	s.tasks.Go(func() { list.Run(ctx) })
@@ -173,6 +179,13 @@
 	s.tasks.Go(func() { every(ctx, trimPause, s.trim) })
 }
 
+func orDefault(bound clock.Span) clock.Span {
+	if bound == 0 {
+		return defaultBound
+	}
+	return bound
+}
+
 // every calls fn again and again until ctx ends.
 func every(ctx context.Context, pause time.Duration, fn func(context.Context)) {
 	ticker := time.NewTicker(pause)
