--- a/cmd/gate.go
+++ b/cmd/gate.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
@@ -49,7 +50,11 @@
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Memory) * heapShare))
 	}
-	log, err := logs.New(logs.Config{Out: c.Root().Writer, Level: c.String("log-level"), Rate: c.Int("log-rate")})
+	registry := metrics.NewRegistry()
+	dropped := metrics.NewRegisteredCounter("log.dropped", registry)
+	log, err := logs.New(logs.Config{
+		Out: c.Root().Writer, Level: c.String("log-level"), Rate: c.Int("log-rate"), Dropped: dropped.Inc,
+	})
 	if err != nil {
 		return err
 	}
@@ -60,7 +65,7 @@
 	adapter := platform.New(settings)
 	server, err := gate.Start(ctx, gate.Config{
 		Settings: settings, Dialect: adapter, Source: adapter, Clock: clock.NewSystem(),
-		Log: log.With(zap.String("instance", string(settings.Name))), Seed: rand.Uint64(),
+		Log: log.With(zap.String("instance", string(settings.Name))), Registry: registry, Seed: rand.Uint64(),
 	})
 	if err != nil {
 		return err
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/bundle"
@@ -181,5 +182,7 @@
 	Source   Source
 	Clock    clock.Clock
 	Log      *zap.Logger
+	// Registry gets the metrics; nil makes a new one.
+	Registry gometrics.Registry
 	Seed     uint64
 }
--- a/gate/drain.go
+++ b/gate/drain.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
-	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
 )
 
@@ -109,7 +108,3 @@
 	delete(i.timers, c)
 	_ = c.Close() // the caller may have closed it before
 }
-
-func zapText(key, value string) zap.Field { return zap.String(key, value) }
-
-func zapVersion(v ident.Version) zap.Field { return zap.Uint64("version", uint64(v)) }
--- a/gate/flight.go
+++ b/gate/flight.go
@@ -10,6 +10,7 @@
 
 	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
@@ -54,8 +55,10 @@
 	head    Head
 	ask     pool.Ask
 	body    []byte
-	header  http.Header
-	hopped  bool
+	// print identifies the request when it is sent again.
+	print  ident.Fingerprint
+	header http.Header
+	hopped bool
 
 	arrived  clock.Time
 	deadline clock.Time
@@ -107,6 +110,10 @@
 		if f.expired(ctx) {
 			return
 		}
+		if f.s.state.mayCrash(f.print) {
+			f.giveUp(place{reason: "request crashed endpoints", wait: suspectTerm})
+			return
+		}
 		p, ok := f.find()
 		if !ok {
 			if f.mayWait() && sleepSpan(ctx, waitStep) {
@@ -329,6 +336,9 @@
 	f := t.f
 	f.last = string(o)
 	f.s.metrics.tried(string(o))
+	if o == pool.Done {
+		f.s.state.cleared(f.print)
+	}
 	if t.ticket != nil {
 		f.s.state.locked(func(p *pool.Pool, now clock.Time) { p.End(now, t.ticket, o) })
 	}
@@ -383,6 +393,9 @@
 		return again
 	default:
 		t.end(pool.Broken)
+		if t.place.local != nil {
+			f.s.state.lose(t.place.local.Endpoint, crash.Mark{Fingerprint: f.print, Regions: f.route.Homes})
+		}
 	}
 	if f.repeatable() {
 		return again
--- a/gate/front.go
+++ b/gate/front.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/caller"
@@ -39,7 +40,7 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := table.Match(r.Host, path)
 	if route == nil {
-		s.log.Info("no route", zapText("host", r.Host), zapText("path", path), zapVersion(table.Version))
+		s.log.Info("no route", zap.String("host", r.Host), zap.String("path", path), zap.Uint64("version", uint64(table.Version)))
 		respond(w, http.StatusNotFound, caller.RanNo, "route", "no route for this host and path", "")
 		return
 	}
@@ -48,6 +49,7 @@
 	if !f.readBody(table.Bounds.BodyBytes) {
 		return
 	}
+	f.print = fingerprint(r.Host, r.RequestURI, f.body)
 	ctx, cancel := context.WithTimeout(r.Context(), f.left().Duration())
 	defer cancel()
 	f.run(ctx)
--- a/gate/health.go
+++ b/gate/health.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 	"github.com/tanagerbridge/tanagerbridge/relay"
@@ -41,9 +42,15 @@
 	defer cancel()
 	c, err := s.health(ctx, i.Address, backend.Health, i.ID)
 	if err != nil {
+		if fault.KindOf[relay.Kind](err) == relay.Unsent && ctx.Err() == nil {
+			s.state.unreachable(i.ID)
+		}
 		s.log.Debug("health check failed", zap.String("endpoint", string(i.ID)), zap.Error(err))
 		return
 	}
+	if c.Same {
+		s.state.survived(i.ID)
+	}
 	s.state.locked(func(p *pool.Pool, now clock.Time) { p.Checked(now, i.ID, c) })
 	s.log.Info("health checked", zap.String("endpoint", string(i.ID)), zap.Bool("healthy", c.Healthy),
 		zap.Bool("same", c.Same), zap.Int64("cold", int64(c.Cold)))
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -22,15 +22,13 @@
 	connections   gometrics.Counter
 	storeFailures gometrics.Counter
 	active        gometrics.Counter
-	dropped       gometrics.Counter
 }
 
-func newMetrics() *metrics {
-	r := gometrics.NewRegistry()
+func newMetrics(r gometrics.Registry) *metrics {
 	counter := func(name string) gometrics.Counter { return gometrics.NewRegisteredCounter(name, r) }
 	return &metrics{
 		registry: r, connections: counter("endpoint.connections"), storeFailures: counter("store.failures"),
-		active: counter("requests.active"), dropped: counter("log.dropped"),
+		active: counter("requests.active"),
 	}
 }
 
--- a/gate/server.go
+++ b/gate/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
@@ -69,7 +70,10 @@
 	if err := c.Settings.Check(); err != nil {
 		return nil, err
 	}
-	m := newMetrics()
+	if c.Registry == nil {
+		c.Registry = gometrics.NewRegistry()
+	}
+	m := newMetrics(c.Registry)
 	s := &Server{settings: c.Settings, dialect: c.Dialect, clock: c.Clock, log: c.Log, metrics: m, state: newState(c, m)}
 	s.idle = newIdleConns(s)
 	ctx, s.stop = context.WithCancel(context.WithoutCancel(ctx))
@@ -154,7 +158,7 @@
 			Zone: s.settings.Zone, Mesh: s.settings.Mesh, Front: s.settings.Front,
 			Hop: net.JoinHostPort(s.settings.IP, strconv.Itoa(s.settings.HopPort)),
 		},
-		Seeds: s.settings.Seeds, Clock: s.clock, Log: s.log, Seed: c.Seed, Load: s.state.load, Heard: s.state.peerWork,
+		Seeds: s.settings.Seeds, Clock: s.clock, Log: s.log, Seed: c.Seed, Facts: s.state.facts, Heard: s.state.heard,
 	})
 	if err != nil {
 		return err
--- a/gate/state.go
+++ b/gate/state.go
@@ -11,6 +11,7 @@
 	"github.com/tanagerbridge/tanagerbridge/budget"
 	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
@@ -38,6 +39,10 @@
 	retries map[ident.Service]*budget.Window
 	relays  map[string]*relay.Pool
 	hops    hopLoad
+	// suspects are requests that may crash the endpoints that run them, and lost holds those
+	// whose connection broke, by endpoint, until it is known whether it crashed.
+	suspects *crash.Suspects
+	lost     map[ident.Endpoint][]crash.Mark
 }
 
 func newState(c Config, m *metrics) *state {
@@ -45,7 +50,7 @@
 		settings: c.Settings, clock: c.Clock, log: c.Log, source: c.Source, metrics: m,
 		pool:    pool.New(pool.Config{Self: c.Settings.Name, Region: c.Settings.Region, Seed: c.Seed}),
 		retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
-		hops: make(hopLoad),
+		hops: make(hopLoad), suspects: crash.New(crash.Config{Term: suspectTerm}), lost: make(map[ident.Endpoint][]crash.Mark),
 	}
 }
 
@@ -64,6 +69,9 @@
 	for _, c := range s.pool.Sync(now, snapshot.Read, infos) {
 		s.log.Info("endpoint "+c.What, zap.String("endpoint", string(c.Endpoint)),
 			zap.String("service", string(c.Service)), zap.Int64("revision", int64(snapshot.At)))
+		if c.What == pool.Reborn {
+			s.crashed(now, c.Endpoint)
+		}
 	}
 	s.dropRelays(infos)
 	s.listed.Store(true)
@@ -132,28 +140,32 @@
 	s.pool.Members(v.Neighbours, v.Settled)
 }
 
-// peerWork takes the work of another instance of the region.
-func (s *state) peerWork(from ident.Entry, work []mesh.Work) {
-	loads := make(map[ident.Endpoint]pool.PeerLoad, len(work))
-	for _, w := range work {
-		loads[w.Endpoint] = pool.PeerLoad{Count: w.Count, Reading: w.Reading, Holding: w.Holding}
-	}
+// heard takes what another instance tells.
+func (s *state) heard(from mesh.Record, f mesh.Facts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.Hear(s.clock.Now(), from, loads)
+	now := s.clock.Now()
+	s.suspects.Hear(now, f.Accusations)
+	if from.Region != s.settings.Region || f.Work == nil {
+		return
+	}
+	loads := make(map[ident.Endpoint]pool.PeerLoad, len(f.Work))
+	for _, w := range f.Work {
+		loads[w.Endpoint] = pool.PeerLoad{Count: w.Count, Reading: w.Reading, Holding: w.Holding}
+	}
+	s.pool.Hear(now, from.Name, loads)
 }
 
-// load returns what this instance tells its peers.
-func (s *state) load() (work []mesh.Work, services []pool.Summary) {
+// facts returns what this instance tells the others.
+func (s *state) facts() mesh.Facts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock.Now()
+	f := mesh.Facts{Work: []mesh.Work{}, Services: s.pool.Summaries(now), Accusations: s.suspects.Accusations(now)}
 	for id, l := range s.pool.Work() {
-		work = append(work, mesh.Work{Endpoint: id, Count: l.Count, Reading: l.Reading, Holding: l.Holding})
-	}
-	if work == nil {
-		work = []mesh.Work{}
+		f.Work = append(f.Work, mesh.Work{Endpoint: id, Count: l.Count, Reading: l.Reading, Holding: l.Holding})
 	}
-	return work, s.pool.Summaries(s.clock.Now())
+	return f
 }
 
 // locked runs fn with the pool.
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -10,6 +10,7 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/news"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 )
 
@@ -61,12 +62,19 @@
 	Heard bool `msgpack:"h"`
 	// Records are some other instances.
 	Records []Record `msgpack:"r,omitempty"`
+	Facts
+	// Reply asks for a message at once.
+	Reply bool `msgpack:"a,omitempty"`
+}
+
+// Facts are what an instance tells of endpoints and requests.
+type Facts struct {
 	// Work is the sender's work on the endpoints of its region; sent within a region.
 	Work []Work `msgpack:"w,omitempty"`
-	// Regions is what the sender's region can do; sent to other regions.
+	// Services is what the sender's region can do; sent to other regions.
 	Services []pool.Summary `msgpack:"v,omitempty"`
-	// Reply asks for a message at once.
-	Reply bool `msgpack:"a,omitempty"`
+	// Accusations name requests that are suspected of crashing endpoints.
+	Accusations []news.Accusation `msgpack:"x,omitempty"`
 }
 
 // Work is the sender's work on one endpoint.
@@ -86,6 +94,8 @@
 	farFan  = 2
 	// gossipRecords is how many other records a message carries.
 	gossipRecords = 4
+	// maxAccusations bounds the accusations of one message.
+	maxAccusations = 16
 	// aliveSpan is how long an instance counts as alive without news in a small fleet.
 	aliveSpan = 1800 * clock.Millisecond
 	// aliveRounds is the least number of full turns through all instances in that time.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -12,7 +12,6 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
-	"github.com/tanagerbridge/tanagerbridge/pool"
 )
 
 // Config configures a Node.
@@ -22,10 +21,10 @@
 	Clock clock.Clock
 	Log   *zap.Logger
 	Seed  uint64
-	// Load returns this instance's work and what its region can do.
-	Load func() ([]Work, []pool.Summary)
-	// Heard takes another instance's work on the endpoints of this region.
-	Heard func(from ident.Entry, work []Work)
+	// Facts returns what this instance tells the others.
+	Facts func() Facts
+	// Heard takes what another instance tells.
+	Heard func(from Record, f Facts)
 }
 
 // Node sends and receives the messages of one instance. It is safe for concurrent use.
@@ -59,11 +58,11 @@
 	defer ticker.Stop()
 	defer n.socket.Close() //nolint:errcheck // the process is ending
 	for {
-		work, services := n.c.Load()
+		facts := n.c.Facts()
 		n.send(n.look(func(t *Table, now clock.Time) []Letter {
 			t.Forget(now)
 			n.logAlive(len(t.Alive(now)))
-			return t.Round(now, work, services)
+			return t.Round(now, facts)
 		}))
 		select {
 		case <-ctx.Done():
@@ -102,9 +101,7 @@
 			answer = t.Hear(now, m)
 			return nil
 		})
-		if m.From.Region == n.c.Self.Region && m.Work != nil {
-			n.c.Heard(m.From.Name, m.Work)
-		}
+		n.c.Heard(m.From, m.Facts)
 		if answer != nil {
 			n.send([]Letter{*answer})
 		}
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/news"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 )
 
@@ -61,22 +62,32 @@
 }
 
 // Round raises the counter and returns the messages to send.
-func (t *Table) Round(now clock.Time, work []Work, services []pool.Summary) (letters []Letter) {
+func (t *Table) Round(now clock.Time, f Facts) (letters []Letter) {
 	t.self.Counter++
 	near, far := t.split()
 	for _, p := range turn(near, &t.nearPos, nearFan) {
 		m := t.message(now, p)
-		m.Work = work
+		m.Work, m.Accusations = f.Work, visible(f.Accusations, p.Region)
 		letters = append(letters, Letter{p.Mesh, m})
 	}
 	for _, p := range turn(far, &t.farPos, max(farFan, t.regions())) {
 		m := t.message(now, p)
-		m.Services = services
+		m.Services, m.Accusations = f.Services, visible(f.Accusations, p.Region)
 		letters = append(letters, Letter{p.Mesh, m})
 	}
 	return append(letters, t.toSeeds(now)...)
 }
 
+// visible returns the accusations that a region may learn of.
+func visible(all []news.Accusation, to ident.Region) (found []news.Accusation) {
+	for _, a := range all {
+		if a.Visible(to) && len(found) < maxAccusations {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
 // Farewell returns messages that tell all instances of this one's state at once.
 func (t *Table) Farewell(now clock.Time) (letters []Letter) {
 	t.self.Counter++
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -9,6 +9,7 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
+	"github.com/tanagerbridge/tanagerbridge/news"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 )
 
@@ -18,10 +19,12 @@
 	tables map[string]*mesh.Table
 	drop   func(from, to string) bool
 	sent   map[string]int
+	facts  mesh.Facts
 }
 
 func newNet(n int, regions int) *net {
 	w := &net{now: 1000, tables: make(map[string]*mesh.Table), sent: make(map[string]int)}
+	w.facts.Services = []pool.Summary{{Service: "s", Slots: 4, Free: 2}}
 	for i := range n {
 		address := fmt.Sprint("m", i)
 		w.tables[address] = mesh.NewTable(w.now, mesh.Record{
@@ -37,7 +40,7 @@
 		w.now = w.now.Add(200)
 		for from, t := range w.tables {
 			t.Forget(w.now)
-			w.deliver(from, t.Round(w.now, nil, []pool.Summary{{Service: "s", Slots: 4, Free: 2}}))
+			w.deliver(from, t.Round(w.now, w.facts))
 		}
 	}
 }
@@ -110,6 +113,20 @@
 	require.Empty(t, w.tables["m1"].Regions(w.now))
 }
 
+// Guards against facts about home-bound requests that reach other regions.
+func TestAccusationsKeepHomes(t *testing.T) {
+	w := newNet(3, 3)
+	w.round(5)
+	w.facts.Accusations = []news.Accusation{
+		{Fingerprint: 1, Rest: 1000}, {Fingerprint: 2, Rest: 1000, Regions: []ident.Region{"r1"}},
+	}
+	for _, l := range w.tables["m0"].Round(w.now, w.facts) {
+		for _, a := range l.Message.Accusations {
+			require.True(t, a.Fingerprint == 1 || l.Address == "m1", "%s learns of %d", l.Address, a.Fingerprint)
+		}
+	}
+}
+
 // Guards against an old record that replaces a newer one.
 func TestOldRecordsAreIgnored(t *testing.T) {
 	table := mesh.NewTable(1000, mesh.Record{Name: "a", Region: "r"}, nil, 1)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// Reborn is the Change.What of an endpoint whose process was started anew under its id.
+const Reborn = "reborn"
+
 // Change says what a new list changed about one endpoint.
 type Change struct {
 	Endpoint ident.Endpoint
@@ -114,7 +117,7 @@
 	what := ""
 	switch {
 	case e.Born != i.Born && i.Born != 0:
-		what = "reborn"
+		what = Reborn
 		fresh := newEndpoint(i)
 		fresh.sends, fresh.reading, fresh.holding = e.sends, e.reading, e.holding
 		*e = *fresh
