feat(gate): learn from other instances while the store is away

Change: an instance that the store does not answer asks another one for what that one has read; a version never goes back.

--- a/gate/server.go
+++ b/gate/server.go
@@ -103,7 +103,7 @@
 		return err
 	}
 	s.callers.ConnState = s.idle.changed
-	if s.hops, err = s.listen(ctx, &hop, http.HandlerFunc(s.hop)); err != nil {
+	if s.hops, err = s.listen(ctx, &hop, s.innerRoutes()); err != nil {
 		return err
 	}
 	s.settings.HopPort = portOf(hop)
@@ -125,6 +125,18 @@
 	return nil
 }
 
+// innerRoutes serves the other instances. Requests of callers that are passed on carry a
+// header; a router would change their paths.
+func (s *Server) innerRoutes() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerHop) == "" && r.RequestURI == pathView {
+			s.answerView(w, r)
+			return
+		}
+		s.hop(w, r)
+	})
+}
+
 // listen binds an address, which may have port 0, and writes the one in use back.
 func (s *Server) listen(ctx context.Context, address *string, handler http.Handler) (*http.Server, error) {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", *address)
@@ -171,16 +183,17 @@
 func (s *Server) run(ctx context.Context, source Source) {
 	list := store.NewFollower(store.Config{
 		Reader: source, Clock: s.clock, Prefix: source.EndpointPrefix(), Interval: min(maxListInterval, orDefault(s.settings.ListBound)/listShare),
-		Changed: s.state.listChanged, Failed: s.state.storeFailed("endpoints"),
+		Changed: s.state.ownList, Failed: s.state.storeFailed("endpoints"),
 	})
 	control := store.NewFollower(store.Config{
 		Reader: source, Clock: s.clock, Prefix: source.ControlPrefix(), Interval: controlInterval, Wait: orDefault(s.settings.ControlBound) / controlShare,
-		Changed: s.state.controlChanged, Failed: s.state.storeFailed("control"),
+		Changed: s.state.ownControl, Failed: s.state.storeFailed("control"),
 	})
 	s.tasks.Go(func() { list.Run(ctx) })
 	s.tasks.Go(func() { control.Run(ctx) })
 	s.tasks.Go(func() { every(ctx, checkPause.Duration(), s.check) })
 	s.tasks.Go(func() { every(ctx, trimPause, s.trim) })
+	s.tasks.Go(func() { every(ctx, viewPause.Duration(), s.learn) })
 }
 
 func orDefault(bound clock.Span) clock.Span {
--- /dev/null
+++ b/gate/share.go
@@ -0,0 +1,108 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/relay"
+	"github.com/tanagerbridge/tanagerbridge/store"
+)
+
+const (
+	// pathView is where an instance tells another one what it has read from the store.
+	pathView = "/tanager/view"
+	// viewPause is the pause between two questions to other instances while the store does
+	// not answer, and viewAfter how long it must have been silent before the first.
+	viewPause = 500 * clock.Millisecond
+	viewAfter = 1200 * clock.Millisecond
+	// viewTimeout bounds a question.
+	viewTimeout = 800 * clock.Millisecond
+	// maxView bounds an answer in bytes.
+	maxView = 16 << 20
+	// maxViewAge is how old what another instance has read may be.
+	maxViewAge = 5 * clock.Minute
+)
+
+// view is what an instance has read from the store, with the ages of the readings.
+type view struct {
+	Control reading `msgpack:"c"`
+	List    reading `msgpack:"l"`
+}
+
+// reading is a snapshot in the form for other instances.
+type reading struct {
+	Items map[string]store.Item `msgpack:"i"`
+	At    store.Revision        `msgpack:"a"`
+	Age   clock.Span            `msgpack:"g"`
+}
+
+func encodeReading(now clock.Time, s store.Snapshot) reading {
+	return reading{Items: s.Items, At: s.At, Age: now.Sub(s.Read)}
+}
+
+// newer returns the reading as a snapshot if it is newer than what is known.
+func (r reading) newer(now clock.Time, known store.Snapshot) (store.Snapshot, bool) {
+	s := store.Snapshot{Items: r.Items, At: r.At, Read: now.Add(-r.Age)}
+	return s, r.Items != nil && r.Age >= 0 && r.Age < maxViewAge && s.At > known.At
+}
+
+// answerView tells another instance what this one has read.
+func (s *Server) answerView(w http.ResponseWriter, _ *http.Request) {
+	control, list := s.state.snapshots()
+	now := s.clock.Now()
+	data, err := msgpack.Marshal(view{Control: encodeReading(now, control), List: encodeReading(now, list)})
+	if err != nil {
+		s.log.Error("view can't be encoded", zap.Error(err))
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data) // an instance that has left needs no answer
+}
+
+// learn asks another instance for what it has read while the store does not answer here.
+func (s *Server) learn(ctx context.Context) {
+	if s.clock.Now().Sub(s.state.lastRead()) < viewAfter {
+		return
+	}
+	alive := s.node.View().Alive
+	if len(alive) == 0 {
+		return
+	}
+	peer := alive[s.random()%uint64(len(alive))]
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout.Duration())
+	defer cancel()
+	v, err := s.askView(ctx, peer.Hop)
+	if err != nil {
+		s.log.Info("no view from another instance", zap.String("of", string(peer.Name)), zap.Error(err))
+		return
+	}
+	now := s.clock.Now()
+	control, list := s.state.snapshots()
+	if n, ok := v.Control.newer(now, control); ok {
+		s.log.Info("configuration taken from another instance", zap.String("of", string(peer.Name)), zap.Int64("age", int64(v.Control.Age)))
+		s.state.controlChanged(n)
+	}
+	if n, ok := v.List.newer(now, list); ok {
+		s.log.Info("endpoints taken from another instance", zap.String("of", string(peer.Name)), zap.Int64("age", int64(v.List.Age)))
+		s.state.listChanged(n)
+	}
+}
+
+func (s *Server) askView(ctx context.Context, address string) (v view, err error) {
+	r, err := s.state.relay(address).Do(ctx, &relay.Request{
+		Method: http.MethodGet, URI: pathView, Host: address, Header: http.Header{},
+	}, repeatIdle)
+	if err != nil {
+		return v, err
+	}
+	defer r.Close()
+	data, err := r.ReadAll(maxView)
+	if err != nil {
+		return v, err
+	}
+	return v, msgpack.Unmarshal(data, &v)
+}
--- a/gate/state.go
+++ b/gate/state.go
@@ -43,17 +43,55 @@
 	// whose connection broke, by endpoint, until it is known whether it crashed.
 	suspects *crash.Suspects
 	lost     map[ident.Endpoint][]crash.Mark
+	// control and list are the newest readings of the store, and read is when this instance
+	// last read either by itself.
+	control store.Snapshot
+	list    store.Snapshot
+	read    clock.Time
 }
 
 func newState(c Config, m *metrics) *state {
 	return &state{
 		settings: c.Settings, clock: c.Clock, log: c.Log, source: c.Source, metrics: m,
-		pool:    pool.New(pool.Config{Self: c.Settings.Name, Region: c.Settings.Region, Seed: c.Seed}),
-		retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
+		pool: pool.New(pool.Config{Self: c.Settings.Name, Region: c.Settings.Region, Seed: c.Seed}),
+		read: c.Clock.Now(), retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
 		hops: make(hopLoad), suspects: crash.New(crash.Config{Term: suspectTerm}), lost: make(map[ident.Endpoint][]crash.Mark),
 	}
 }
 
+// ownList takes a list that this instance has read itself.
+func (s *state) ownList(snapshot store.Snapshot) {
+	s.answered()
+	s.listChanged(snapshot)
+}
+
+// ownControl takes a configuration that this instance has read itself.
+func (s *state) ownControl(snapshot store.Snapshot) {
+	s.answered()
+	s.controlChanged(snapshot)
+}
+
+// answered records that the store answers this instance.
+func (s *state) answered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.read = s.clock.Now()
+}
+
+// lastRead returns when this instance last read the store by itself.
+func (s *state) lastRead() clock.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.read
+}
+
+// snapshots returns the newest readings of the store.
+func (s *state) snapshots() (control, list store.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.control, s.list
+}
+
 // ready reports whether the instance knows enough to take work.
 func (s *state) ready() bool { return s.table.Load() != nil && s.listed.Load() }
 
@@ -66,6 +104,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
+	s.list = snapshot
 	for _, c := range s.pool.Sync(now, snapshot.Read, infos) {
 		s.log.Info("endpoint "+c.What, zap.String("endpoint", string(c.Endpoint)),
 			zap.String("service", string(c.Service)), zap.Int64("revision", int64(snapshot.At)))
@@ -101,6 +140,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err == nil {
+		s.control = snapshot
+	}
 	slices.Sort(zones)
 	s.pool.Evacuate(zones)
 	if table == nil {
