refactor(names): name thresholds for what they bound

Cause: constants of fleet, member and peer had figurative names without a unit (patience, sparing, crowd, tiny, steep, behind, farewell, silence). Change: usual terms (probeTimeouts, maxProbeInterval, minColdShare, slowExponent, departureTerm, maxReportAge and others). Result: no change in behaviour; the tests of fleet, member, peer, core and route pass.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -125,7 +125,7 @@
 // them, are enough to measure.
 func (r *attempt) step(now clock.Time, tokens ident.Tokens) {
 	n := tokens - r.tokens
-	if n < measurable && now.Sub(r.moved) < stalled {
+	if n < minTokens && now.Sub(r.moved) < maxSampleTime {
 		return
 	}
 	per := float64(now.Sub(r.moved)) / float64(max(1, n))
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -129,8 +129,8 @@
 	if e.missing == 0 {
 		return false
 	}
-	answers := e.reported && e.missed == 0 && now.Sub(e.heard) <= silence
-	return e.state == Leaving || !answers || now.Sub(e.missing) >= absence
+	answers := e.reported && e.missed == 0 && now.Sub(e.heard) <= maxReportAge
+	return e.state == Leaving || !answers || now.Sub(e.missing) >= unlistedTerm
 }
 
 // leave makes the endpoint leaving for good.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,16 +15,16 @@
 )
 
 const (
-	// absence is how long an endpoint stays after the list dropped it, as long as
+	// unlistedTerm is how long an endpoint stays after the list dropped it, as long as
 	// it answers: the list is stale at times.
-	absence = 60 * clock.Second
-	// silence is how old an endpoint's last report may be for it to count as answering.
-	silence = 3 * clock.Second
+	unlistedTerm = 60 * clock.Second
+	// maxReportAge is how old an endpoint's last report may be for it to count as answering.
+	maxReportAge = 3 * clock.Second
 	// misses is how many reports in a row may be missed before an endpoint is down.
 	misses = 3
-	// farewell is how long others are told that an endpoint is leaving, twice the
+	// departureTerm is how long others are told that an endpoint is leaving, twice the
 	// lag of the instance list.
-	farewell = 60 * clock.Second
+	departureTerm = 60 * clock.Second
 	// unlisted bounds the departures kept of endpoints that are not on the list.
 	unlisted = 1024
 )
@@ -310,7 +310,7 @@
 func (f *Fleet) Hear(now clock.Time, told []news.Departure) bool {
 	changed := false
 	for _, d := range told {
-		if d.Age >= farewell || d.Age < 0 {
+		if d.Age >= departureTerm || d.Age < 0 {
 			continue
 		}
 		if f.depart(now, now.Add(-d.Age), d.Endpoint) {
@@ -346,7 +346,7 @@
 func (f *Fleet) expire(now clock.Time) {
 	kept := f.gone[:0]
 	for _, d := range f.gone {
-		if now.Sub(d.at) < farewell {
+		if now.Sub(d.at) < departureTerm {
 			kept = append(kept, d)
 		}
 	}
@@ -358,13 +358,13 @@
 	var told []news.Departure
 	for _, g := range f.groups {
 		for _, e := range g.endpoints {
-			if e.state == Leaving && now.Sub(e.left) < farewell {
+			if e.state == Leaving && now.Sub(e.left) < departureTerm {
 				told = append(told, news.Departure{Endpoint: e.name, Age: now.Sub(e.left)})
 			}
 		}
 	}
 	for _, d := range f.gone {
-		if now.Sub(d.at) < farewell {
+		if now.Sub(d.at) < departureTerm {
 			told = append(told, news.Departure{Endpoint: d.endpoint, Age: now.Sub(d.at)})
 		}
 	}
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -16,18 +16,18 @@
 	refresh = 100 * clock.Millisecond
 	// peers is how many endpoints with samples make a median of their own.
 	peers = 3
-	// removable is the largest share of a region's slots, and of its endpoints, that
+	// maxRemoved is the largest share of a region's slots, and of its endpoints, that
 	// weights may remove.
-	removable = 1.0 / 3
-	// probed is the weight of a slow endpoint at which it gets no work but probes.
-	probed = 0.02
-	// steep is the power of the ratio with which the weight of a slow endpoint falls.
+	maxRemoved = 1.0 / 3
+	// probeWeight is the weight of a slow endpoint at which it gets no work but probes.
+	probeWeight = 0.02
+	// slowExponent is the power of the ratio with which the weight of a slow endpoint falls.
 	// With 1, an idle endpoint that is 5 times slower would be preferred to peers
 	// that are more than half full.
-	steep = 3
-	// crowd is the least share of their slots that cold endpoints get while they hold
+	slowExponent = 3
+	// minColdShare is the least share of their slots that cold endpoints get while they hold
 	// more than a third of a region's slots, as after the loss of a zone.
-	crowd = 0.5
+	minColdShare = 0.5
 	// busy is the part of the slots in use from which a region is short of them.
 	busy = 0.9
 	// recent is the weight of a new sample in the mean duration of attempts.
@@ -227,8 +227,8 @@
 			cold += e.slots
 		}
 	}
-	if float64(cold) > removable*float64(all) {
-		return crowd
+	if float64(cold) > maxRemoved*float64(all) {
+		return minColdShare
 	}
 	return start
 }
@@ -305,7 +305,7 @@
 			return
 		}
 		size := float64(e.slots)
-		want := size * (1 - max(probed, math.Exp(-steep*e.slow.ratio)))
+		want := size * (1 - max(probeWeight, math.Exp(-slowExponent*e.slow.ratio)))
 		taken := min(want, slots)
 		e.slow.weight = 1 - taken/size
 		slots -= taken
@@ -329,7 +329,7 @@
 			missing += (1 - c) * float64(e.slots)
 		}
 	}
-	return live/3 - held, slots*removable - missing
+	return live/3 - held, slots*maxRemoved - missing
 }
 
 // Loads returns a summary of each service in the entry's region, in order of
@@ -352,7 +352,7 @@
 	for _, c := range f.Candidates(now, g.service, g.region) {
 		l.Slots += c.Slots
 		excess += max(0, c.Load-float64(c.Slots))
-		if c.Weight >= crowd && !c.Alone {
+		if c.Weight >= minColdShare && !c.Alone {
 			free += max(0, float64(c.Slots)-c.Load)
 		}
 	}
--- a/fleet/slow.go
+++ b/fleet/slow.go
@@ -11,38 +11,38 @@
 	// gain is the weight of a new sample in a mean. With it the third of three
 	// samples that are 5 times too long makes an endpoint slow.
 	gain = 0.25
-	// regain is the same for samples of a slow endpoint, which has only probes.
-	regain = 0.5
-	// enough is how many samples make a judgement.
-	enough = 3
-	// tiny is the least sample, so that it has a logarithm.
-	tiny = 0.01
-	// measurable is how many tokens, or how much time, make a sample between tokens.
-	measurable ident.Tokens = 8
-	stalled                 = 2 * clock.Second
-	// probing is the shortest time between two probes of a slow endpoint.
-	probing = 4 * clock.Second
-	// patience is the time after which a probe is sent whatever the traffic.
-	patience = 60 * clock.Second
-	// sparing is how many attempts the group starts from one probe to the next. With
+	// recoveryGain is the same for samples of a slow endpoint, which has only probes.
+	recoveryGain = 0.5
+	// minSamples is how many samples make a judgement.
+	minSamples = 3
+	// minSample is the least sample, so that it has a logarithm.
+	minSample = 0.01
+	// minTokens is how many tokens, or how much time, make a sample between tokens.
+	minTokens     ident.Tokens = 8
+	maxSampleTime              = 2 * clock.Second
+	// minProbeInterval is the shortest time between two probes of a slow endpoint.
+	minProbeInterval = 4 * clock.Second
+	// maxProbeInterval is the time after which a probe is sent whatever the traffic.
+	maxProbeInterval = 60 * clock.Second
+	// probeAttempts is how many attempts the group starts from one probe to the next. With
 	// 100, the probes of one slow endpoint alone were the slowest hundredth of a
 	// region's work.
-	sparing = 200
+	probeAttempts = 200
 )
 
 // Ratios to the median of the peers, as logarithms. Logarithms keep one straggler
 // from making an endpoint look slow.
 var (
-	// enter is the ratio at which an endpoint becomes slow, leave that at which it recovers.
-	enter = math.Log(2.2)
-	leave = math.Log(1.5)
+	// slowRatio is the ratio at which an endpoint becomes slow, recoveredRatio that at which it recovers.
+	slowRatio      = math.Log(2.2)
+	recoveredRatio = math.Log(1.5)
 	// overdue is the ratio from which an attempt that waits for a token counts.
 	overdue = math.Log(1.5)
 	// highest and lowest bound a sample.
 	highest = math.Log(6)
 	lowest  = -math.Log(4)
-	// behind is the ratio of the time since the first token to the usual whole time.
-	behind = 3.0
+	// overdueRatio is the ratio of the time since the first token to the usual whole time.
+	overdueRatio = 3.0
 )
 
 // gauge is an exponentially weighted mean of logarithms.
@@ -56,7 +56,7 @@
 
 // add takes in a sample.
 func (g *gauge) add(x, rate float64) {
-	v := math.Log(max(x, tiny))
+	v := math.Log(max(x, minSample))
 	if g.known {
 		v = g.median + g.compare(x)
 	}
@@ -73,7 +73,7 @@
 
 // compare returns the logarithm, within bounds, of the ratio of x to the median.
 func (g *gauge) compare(x float64) float64 {
-	return min(max(math.Log(max(x, tiny))-g.median, lowest), highest)
+	return min(max(math.Log(max(x, minSample))-g.median, lowest), highest)
 }
 
 // ratio returns the logarithm of the ratio to the median.
@@ -131,7 +131,7 @@
 // rate returns the weight of the next sample.
 func (s *slowness) rate() float64 {
 	if s.slowed {
-		return regain
+		return recoveryGain
 	}
 	return gain
 }
@@ -145,9 +145,9 @@
 
 // wait puts off the next probe.
 func (s *slowness) wait(now clock.Time, count int, jitter float64) {
-	s.next = now.Add(probing + clock.Span(jitter*float64(probing)))
-	s.late = now.Add(patience)
-	s.turn = count + sparing
+	s.next = now.Add(minProbeInterval + clock.Span(jitter*float64(minProbeInterval)))
+	s.late = now.Add(maxProbeInterval)
+	s.turn = count + probeAttempts
 }
 
 // due reports whether a slow endpoint should get a probe. If the region is short of
@@ -156,7 +156,7 @@
 	if !s.slowed || s.weight >= 1 || now.Before(s.next) {
 		return false
 	}
-	return short && !now.Before(s.next.Add(2*probing)) || count >= s.turn || !now.Before(s.late)
+	return short && !now.Before(s.next.Add(2*minProbeInterval)) || count >= s.turn || !now.Before(s.late)
 }
 
 // opened takes in the time to the first token of r.
@@ -173,7 +173,7 @@
 // hurry makes the next probe due at once if the sample x of a slow endpoint was not
 // slow, so that recovery takes little time.
 func (s *slowness) hurry(g *gauge, x float64) {
-	if s.slowed && g.known && g.compare(x) < enter {
+	if s.slowed && g.known && g.compare(x) < slowRatio {
 		s.next = 0
 		s.turn = 0
 	}
@@ -195,7 +195,7 @@
 		s.opened(r, now.Sub(r.began))
 		return
 	}
-	if n := tokens - r.tokens; n >= measurable {
+	if n := tokens - r.tokens; n >= minTokens {
 		x := float64(now.Sub(r.moved)) / float64(n)
 		s.between.add(x, s.rate())
 		s.hurry(&s.between, x)
@@ -223,15 +223,15 @@
 func (e *endpoint) judge(now clock.Time) {
 	s := &e.slow
 	s.ratio = e.waiting(now)
-	if s.between.count >= enough {
+	if s.between.count >= minSamples {
 		s.ratio = max(s.ratio, s.between.ratio())
 	}
 	s.ratio = max(s.ratio, e.straggling(now))
 	switch {
-	case !s.slowed && s.ratio >= enter:
+	case !s.slowed && s.ratio >= slowRatio:
 		s.slowed = true
 		s.wait(now, e.group.began, 0)
-	case s.slowed && s.ratio < leave:
+	case s.slowed && s.ratio < recoveredRatio:
 		s.slowed = false
 	}
 }
@@ -252,7 +252,7 @@
 			count++
 		}
 	}
-	if count < enough {
+	if count < minSamples {
 		return 0
 	}
 	return v
@@ -273,12 +273,12 @@
 			continue
 		}
 		open++
-		if x := float64(now.Sub(r.first)) / float64(r.Size) / usual; x > behind {
+		if x := float64(now.Sub(r.first)) / float64(r.Size) / usual; x > overdueRatio {
 			late++
 			least = min(least, x)
 		}
 	}
-	if late < enough || 2*late <= open {
+	if late < minSamples || 2*late <= open {
 		return 0
 	}
 	return min(math.Log(least), highest)
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -4,7 +4,7 @@
 
 // Names and ids. Each is an opaque string that is compared byte by byte.
 type (
-	// Region names a region, such as "dk-east".
+	// Region names a region: places between which links are slow and may be cut.
 	Region string
 	// Zone names an availability zone within a region.
 	Zone string
--- a/member/probe.go
+++ b/member/probe.go
@@ -19,9 +19,9 @@
 const (
 	// maxRelays is how many other members are asked to probe a silent target.
 	maxRelays = 3
-	// patience times the timeout is how long a target has to answer in any way. A relay
+	// probeTimeouts times the timeout is how long a target has to answer in any way. A relay
 	// across regions may need a new connection: three round trips of 100 ms each, twice.
-	patience = 3
+	probeTimeouts = 3
 	// burst is how many targets a process probes per period before it is ready.
 	burst = 8
 )
@@ -92,7 +92,7 @@
 	kept := t.probes[:0]
 	for _, p := range t.probes {
 		waited := t.active.Sub(p.sent)
-		if waited >= patience*t.c.Timeout {
+		if waited >= probeTimeouts*t.c.Timeout {
 			t.silent(p.target)
 			continue
 		}
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -13,9 +13,9 @@
 	"github.com/tanagerbridge/tanagerbridge/wire"
 )
 
-// patience times the probe timeout is how long a probe may take in all; the table
+// probeTimeouts times the probe timeout is how long a probe may take in all; the table
 // gives up on it after the same time.
-const patience = 3
+const probeTimeouts = 3
 
 func (n *Node) probe(ctx context.Context) {
 	t := time.NewTicker(tick)
@@ -38,7 +38,7 @@
 
 // limit bounds one probe.
 func (n *Node) limit(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, (patience * n.c.Timeout).Duration())
+	return context.WithTimeout(ctx, (probeTimeouts * n.c.Timeout).Duration())
 }
 
 func (n *Node) send(ctx context.Context, s member.Send) {
