--- /dev/null
+++ b/pool/property_test.go
@@ -0,0 +1,139 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/pool"
+)
+
+// model is what a list says of the endpoints, kept beside the pool.
+type model struct {
+	t         *rapid.T
+	pool      *pool.Pool
+	now       clock.Time
+	listed    map[ident.Endpoint]pool.Info
+	departed  map[ident.Endpoint]int64
+	evacuated map[ident.Zone]bool
+	running   []*pool.Send
+}
+
+func (m *model) id() ident.Endpoint {
+	return ident.Endpoint(fmt.Sprint("e", rapid.IntRange(0, 5).Draw(m.t, "endpoint")))
+}
+
+func (m *model) sync() {
+	var list []pool.Info
+	for _, i := range m.listed {
+		list = append(list, i)
+	}
+	m.pool.Sync(m.now, m.now, list)
+}
+
+// change is one thing that happens to the world.
+func (m *model) change() {
+	id := m.id()
+	switch rapid.IntRange(0, 4).Draw(m.t, "change") {
+	case 0:
+		i := info(string(id))
+		i.Zone = ident.Zone(rapid.SampledFrom([]string{"z1", "z2"}).Draw(m.t, "zone"))
+		i.Born = int64(m.now)
+		m.listed[id] = i
+		delete(m.departed, id)
+	case 1:
+		if i, ok := m.listed[id]; ok {
+			i.Leaving = true
+			m.listed[id] = i
+			m.departed[id] = i.Born
+		}
+	case 2:
+		delete(m.listed, id)
+	case 3:
+		zone := ident.Zone(rapid.SampledFrom([]string{"z1", "z2"}).Draw(m.t, "zone"))
+		m.evacuated[zone] = !m.evacuated[zone]
+		var zones []ident.Zone
+		for z, on := range m.evacuated {
+			if on {
+				zones = append(zones, z)
+			}
+		}
+		m.pool.Evacuate(zones)
+	case 4:
+		m.pool.Checked(m.now, id, pool.Check{Healthy: true, Same: true})
+	}
+	m.sync()
+}
+
+// place sends a request and checks that the endpoint may get one.
+func (m *model) place() {
+	ask := prompt(uint64(rapid.IntRange(0, 9).Draw(m.t, "prompt")))
+	c, ok := m.pool.Choose(m.now, ask)
+	if !ok {
+		return
+	}
+	i, listed := m.listed[c.Endpoint]
+	switch {
+	case !listed:
+		m.t.Fatalf("%s is not listed", c.Endpoint)
+	case i.Leaving || m.departed[c.Endpoint] == i.Born && i.Born != 0:
+		m.t.Fatalf("%s is leaving", c.Endpoint)
+	case m.evacuated[i.Zone]:
+		m.t.Fatalf("%s is in an evacuated zone", c.Endpoint)
+	case i.Address != c.Address:
+		m.t.Fatalf("%s has address %s, got %s", c.Endpoint, i.Address, c.Address)
+	}
+	m.running = append(m.running, m.pool.Begin(m.now, ask, c))
+}
+
+func (m *model) end() {
+	if len(m.running) == 0 {
+		return
+	}
+	n := rapid.IntRange(0, len(m.running)-1).Draw(m.t, "send")
+	s := m.running[n]
+	m.running = append(m.running[:n], m.running[n+1:]...)
+	if rapid.Bool().Draw(m.t, "answered") {
+		m.pool.First(m.now, s)
+	}
+	m.pool.End(m.now, s, rapid.SampledFrom([]pool.Outcome{
+		pool.Done, pool.Failed, pool.Full, pool.Moved, pool.Broken, pool.Unreachable, pool.Late, pool.Canceled,
+	}).Draw(m.t, "outcome"))
+}
+
+// Guards, over interleavings of lists, evacuations, sends and their ends, against a request
+// to an endpoint that must get none, and against work that is booked twice or never given back.
+func TestInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{
+			t: t, pool: newPool(), now: start, listed: make(map[ident.Endpoint]pool.Info),
+			departed: make(map[ident.Endpoint]int64), evacuated: make(map[ident.Zone]bool),
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			m.now = m.now.Add(clock.Span(rapid.IntRange(1, 400).Draw(t, "pause")))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				m.change()
+			case 1, 2:
+				m.sync()
+				m.place()
+			case 3:
+				m.end()
+			}
+			for id, w := range m.pool.Work() {
+				if w.Count <= 0 || w.Reading < 0 || w.Holding < 0 {
+					t.Fatalf("work of %s: %+v", id, w)
+				}
+			}
+		}
+		for len(m.running) > 0 {
+			m.end()
+		}
+		if left := m.pool.Work(); len(left) > 0 {
+			t.Fatalf("work is left: %v", left)
+		}
+	})
+}
