feat(gate): bound the memory of requests' bodies

Cause: bodies of up to the limit of the table were held without a bound on their sum, and an answer before the end of a body was lost with the connection (TestBodiesAreBounded: status 0). Change: bodies may take a quarter of the memory of the settings; a refused body is read to its end before the answer.

--- a/gate/flight.go
+++ b/gate/flight.go
@@ -55,6 +55,8 @@
 	head    Head
 	ask     pool.Ask
 	body    []byte
+	// reserved is the memory booked for the body.
+	reserved int64
 	// print identifies the request when it is sent again.
 	print  ident.Fingerprint
 	header http.Header
--- a/gate/front.go
+++ b/gate/front.go
@@ -16,6 +16,17 @@
 	"github.com/tanagerbridge/tanagerbridge/pool"
 )
 
+const (
+	// bodyPart is the part of the process's memory that requests' bodies may take, and
+	// defaultBodies the bound in bytes if the settings name no memory.
+	bodyPart      = 4
+	defaultBodies = 256 << 20
+	// maxRejected is how much of a body that can't be taken is read, in bytes.
+	maxRejected = 8 << 20
+	// crowdedAfter is when a caller is asked to come back to an instance without memory.
+	crowdedAfter = 500 * clock.Millisecond
+)
+
 // unreadyAfter is when a caller is asked to come back to an instance that has no table yet.
 const unreadyAfter = 300 * clock.Millisecond
 
@@ -46,6 +57,7 @@
 	}
 	f := s.newFlight(w, r, table, route, arrived)
 	f.hopped = hopped
+	defer f.release()
 	if !f.readBody(table.Bounds.BodyBytes) {
 		return
 	}
@@ -92,6 +104,9 @@
 		f.reject(http.StatusRequestEntityTooLarge, "body is too large")
 		return false
 	}
+	if !f.reserve(size) {
+		return false
+	}
 	body := make([]byte, 0, size+1)
 	in := io.LimitReader(f.request.Body, limit+1)
 	for {
@@ -113,10 +128,35 @@
 		return false
 	}
 	f.body = body
-	return true
+	return f.reserve(int64(len(body)) - size)
+}
+
+// reserve books memory for the body, or refuses the request if there is none. release gives
+// it back.
+func (f *flight) reserve(size int64) bool {
+	f.reserved += size
+	limit := int64(f.s.settings.Memory) / bodyPart
+	if limit == 0 {
+		limit = defaultBodies
+	}
+	if f.s.bodies.Add(size) <= limit || size <= 0 {
+		return true
+	}
+	// An answer before the end of the body would be lost with the connection.
+	if _, err := io.Copy(io.Discard, f.request.Body); err != nil {
+		f.done("left", 0)
+		return false
+	}
+	f.refuse("no memory for the body", crowdedAfter)
+	return false
 }
 
+func (f *flight) release() { f.s.bodies.Add(-f.reserved) }
+
 func (f *flight) reject(status int, reason string) {
+	// An answer before the end of the body would be lost with the connection. A body far
+	// above the limit is not read to its end.
+	_, _ = io.CopyN(io.Discard, f.request.Body, maxRejected)
 	f.writer.Header().Set("Connection", "close")
 	respond(f.writer, status, caller.RanNo, "malformed", reason, f.head.Attempt)
 	f.done("rejected", status)
--- a/gate/server.go
+++ b/gate/server.go
@@ -54,6 +54,8 @@
 	state    *state
 	node     *mesh.Node
 	draining atomic.Bool
+	// bodies is the memory that requests' bodies take, in bytes.
+	bodies atomic.Int64
 
 	callers   *http.Server
 	hops      *http.Server
