perf(gate): let three instances of a region read the list of endpoints

Change: three instances of a region, by rendezvous hashing, read the list; the others ask them for what has changed since a revision and compare digests. A reader that is silent or late is replaced by a reading of one's own.

--- a/gate/server.go
+++ b/gate/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,11 +132,14 @@
 // header; a router would change their paths.
 func (s *Server) innerRoutes() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(headerHop) == "" && r.RequestURI == pathView {
+		switch inner := r.Header.Get(headerHop) == ""; {
+		case inner && r.RequestURI == pathView:
 			s.answerView(w, r)
-			return
+		case inner && strings.HasPrefix(r.RequestURI, pathList):
+			s.answerList(w, r)
+		default:
+			s.hop(w, r)
 		}
-		s.hop(w, r)
 	})
 }
 
@@ -183,15 +187,16 @@
 
 // run starts the loops that keep the instance's view up to date.
 func (s *Server) run(ctx context.Context, source Source) {
+	interval := min(maxListInterval, orDefault(s.settings.ListBound)/listShare)
 	list := store.NewFollower(store.Config{
-		Reader: source, Clock: s.clock, Prefix: source.EndpointPrefix(), Interval: min(maxListInterval, orDefault(s.settings.ListBound)/listShare),
+		Reader: source, Clock: s.clock, Prefix: source.EndpointPrefix(), Interval: interval,
 		Changed: s.state.ownList, Failed: s.state.storeFailed("endpoints"),
 	})
 	control := store.NewFollower(store.Config{
 		Reader: source, Clock: s.clock, Prefix: source.ControlPrefix(), Interval: controlInterval, Wait: orDefault(s.settings.ControlBound) / controlShare,
 		Changed: s.state.ownControl, Failed: s.state.storeFailed("control"),
 	})
-	s.tasks.Go(func() { list.Run(ctx) })
+	s.tasks.Go(func() { s.followList(ctx, list, interval) })
 	s.tasks.Go(func() { control.Run(ctx) })
 	s.tasks.Go(func() { every(ctx, checkPause.Duration(), s.check) })
 	s.tasks.Go(func() { every(ctx, trimPause, s.trim) })
--- a/gate/share.go
+++ b/gate/share.go
@@ -4,11 +4,9 @@
 	"context"
 	"net/http"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
-	"github.com/tanagerbridge/tanagerbridge/relay"
 	"github.com/tanagerbridge/tanagerbridge/store"
 )
 
@@ -54,13 +52,7 @@
 func (s *Server) answerView(w http.ResponseWriter, _ *http.Request) {
 	control, list := s.state.snapshots()
 	now := s.clock.Now()
-	data, err := msgpack.Marshal(view{Control: encodeReading(now, control), List: encodeReading(now, list)})
-	if err != nil {
-		s.log.Error("view can't be encoded", zap.Error(err))
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	_, _ = w.Write(data) // an instance that has left needs no answer
+	s.answer(w, view{Control: encodeReading(now, control), List: encodeReading(now, list)})
 }
 
 // learn asks another instance for what it has read while the store does not answer here.
@@ -75,8 +67,8 @@
 	peer := alive[s.random()%uint64(len(alive))]
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout.Duration())
 	defer cancel()
-	v, err := s.askView(ctx, peer.Hop)
-	if err != nil {
+	var v view
+	if err := s.ask(ctx, peer.Hop, pathView, &v); err != nil {
 		s.log.Info("no view from another instance", zap.String("of", string(peer.Name)), zap.Error(err))
 		return
 	}
@@ -91,18 +83,3 @@
 		s.state.listChanged(n)
 	}
 }
-
-func (s *Server) askView(ctx context.Context, address string) (v view, err error) {
-	r, err := s.state.relay(address).Do(ctx, &relay.Request{
-		Method: http.MethodGet, URI: pathView, Host: address, Header: http.Header{},
-	}, repeatIdle)
-	if err != nil {
-		return v, err
-	}
-	defer r.Close()
-	data, err := r.ReadAll(maxView)
-	if err != nil {
-		return v, err
-	}
-	return v, msgpack.Unmarshal(data, &v)
-}
--- a/gate/state.go
+++ b/gate/state.go
@@ -48,13 +48,16 @@
 	control store.Snapshot
 	list    store.Snapshot
 	read    clock.Time
+	journal journal
+	// differs says that this list is not the one that another instance has at its revision.
+	differs bool
 }
 
 func newState(c Config, m *metrics) *state {
 	return &state{
 		settings: c.Settings, clock: c.Clock, log: c.Log, source: c.Source, metrics: m,
 		pool: pool.New(pool.Config{Self: c.Settings.Name, Region: c.Settings.Region, Seed: c.Seed}),
-		read: c.Clock.Now(), retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
+		read: c.Clock.Now(), journal: newJournal(), retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
 		hops: make(hopLoad), suspects: crash.New(crash.Config{Term: suspectTerm}), lost: make(map[ident.Endpoint][]crash.Mark),
 	}
 }
@@ -105,6 +108,7 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	s.list = snapshot
+	s.journal.record(snapshot, s.source.EndpointPrefix(), infos)
 	for _, c := range s.pool.Sync(now, snapshot.Read, infos) {
 		s.log.Info("endpoint "+c.What, zap.String("endpoint", string(c.Endpoint)),
 			zap.String("service", string(c.Service)), zap.Int64("revision", int64(snapshot.At)))
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -106,6 +106,9 @@
 	return changes
 }
 
+// Confirm records that the list was unchanged when it was read at the given time.
+func (p *Pool) Confirm(read clock.Time) { p.listed = max(p.listed, read) }
+
 func (p *Pool) syncOne(now clock.Time, i Info) string {
 	e := p.endpoints[i.ID]
 	if e == nil {
--- a/store/follow.go
+++ b/store/follow.go
@@ -50,19 +50,28 @@
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		snapshot, err := f.readAll(ctx)
-		if !f.note(ctx, err) {
-			continue
-		}
-		f.c.Changed(snapshot)
-		if f.c.Wait == 0 {
+		snapshot, ok := f.Once(ctx)
+		switch {
+		case !ok:
+		case f.c.Wait == 0:
 			sleep(ctx, jitter(f.c.Interval))
-			continue
+		default:
+			f.watch(ctx, snapshot)
 		}
-		f.watch(ctx, snapshot)
 	}
 }
 
+// Once reads the whole prefix and passes it on. After a failure it waits a little and
+// returns false.
+func (f *Follower) Once(ctx context.Context) (Snapshot, bool) {
+	snapshot, err := f.readAll(ctx)
+	if !f.note(ctx, err) {
+		return snapshot, false
+	}
+	f.c.Changed(snapshot)
+	return snapshot, true
+}
+
 // readAll reads the whole prefix, page by page.
 func (f *Follower) readAll(ctx context.Context) (Snapshot, error) {
 	f.read = f.c.Clock.Now()
