fix(mesh): take a region that nobody is heard of for lost

Change: other regions' instances count as alive only while a message of any of them has lately come; the order of writing begins at random and is not reset when instances join.

--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -103,6 +103,10 @@
 	aliveSpan = 1800 * clock.Millisecond
 	// aliveRounds is how many turns through all instances make that time in a large fleet.
 	aliveRounds = 3
+	// regionSpan is how long no message may come from another region before its instances
+	// don't count as alive, and regionRounds the least number of rounds in that time.
+	regionSpan   = 2 * clock.Second
+	regionRounds = 8
 	// knownSpan is how long an instance is remembered after it was last alive. Bounds that
 	// all instances share are divided by those that are remembered.
 	knownSpan = 90 * clock.Second
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -30,6 +31,8 @@
 	start clock.Time
 	peers map[ident.Entry]*peer
 	seeds []string
+	// heard is when a message of any instance of a region last came.
+	heard map[ident.Region]clock.Time
 	// names are the remembered instances in order, as of the last round.
 	names []ident.Entry
 	// near and far are how many there are in this region and in the others.
@@ -43,7 +46,9 @@
 
 // NewTable returns a table that knows only the addresses of seeds.
 func NewTable(now clock.Time, self Record, seeds []string, seed uint64) *Table {
-	t := &Table{self: self, start: now, peers: make(map[ident.Entry]*peer), random: rand.New(rand.NewPCG(seed, 1))}
+	t := &Table{self: self, start: now, peers: make(map[ident.Entry]*peer), heard: make(map[ident.Region]clock.Time), random: rand.New(rand.NewPCG(seed, 1))}
+	// Instances that all begin with the same one would write to it at the same time.
+	t.nearPos, t.farPos = t.random.IntN(math.MaxInt32), t.random.IntN(math.MaxInt32)
 	t.SetSeeds(seeds)
 	return t
 }
@@ -146,8 +151,8 @@
 // turn takes the next n in a circle.
 func turn(all []*peer, position *int, n int) (next []*peer) {
 	for range min(n, len(all)) {
-		*position = (*position + 1) % len(all)
-		next = append(next, all[*position])
+		*position++
+		next = append(next, all[*position%len(all)])
 	}
 	return next
 }
@@ -185,6 +190,7 @@
 		return nil
 	}
 	p.direct, p.mutual = now, m.Heard
+	t.heard[p.Region] = now
 	if m.Services != nil {
 		p.services, p.summary = m.Services, now
 	}
@@ -233,7 +239,16 @@
 	return round
 }
 
-func (t *Table) alive(now clock.Time, p *peer) bool { return now.Sub(p.news) < t.span(p) }
+func (t *Table) alive(now clock.Time, p *peer) bool {
+	return now.Sub(p.news) < t.span(p) && (p.Region == t.self.Region || t.heardOf(now, p.Region))
+}
+
+// heardOf reports whether a message of any instance of another region came lately. Each
+// region sends several in a round, so that its loss shows before its instances run out.
+func (t *Table) heardOf(now clock.Time, r ident.Region) bool {
+	last, ok := t.heard[r]
+	return ok && now.Sub(last) < max(regionSpan, regionRounds*t.Pause())
+}
 
 // Alive returns the instances that are there and not leaving, this one apart.
 func (t *Table) Alive(now clock.Time) (found []Record) {
@@ -289,7 +304,7 @@
 	byName := make(map[ident.Region]*Region)
 	newest := make(map[ident.Region]clock.Time)
 	for _, p := range t.peers {
-		if p.Region == t.self.Region || p.State != Ready || !p.mutual || now.Sub(p.direct) >= t.span(p) {
+		if p.Region == t.self.Region || p.State != Ready || !p.mutual || now.Sub(p.direct) >= t.span(p) || !t.heardOf(now, p.Region) {
 			continue
 		}
 		r := byName[p.Region]
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -110,6 +110,26 @@
 	require.Equal(t, 3, table.Known())
 }
 
+// Guards against callers and requests that are led to a lost region until each of its
+// instances has run out, which takes long in a large fleet.
+func TestLostRegion(t *testing.T) {
+	w := newNet(120, 3)
+	w.round(45)
+	require.Len(t, w.tables["m0"].Regions(w.now), 2)
+	for address := range w.tables {
+		if w.tables[address].Self().Region == "r1" {
+			delete(w.tables, address)
+		}
+	}
+	w.round(10) // 4 s
+	table := w.tables["m0"]
+	for _, r := range table.Alive(w.now) {
+		require.NotEqual(t, ident.Region("r1"), r.Region)
+	}
+	require.Len(t, table.Alive(w.now), 79)
+	require.Len(t, table.Regions(w.now), 1)
+}
+
 // Guards against a request that is passed to a region over a link that works one way only.
 func TestRegionNeedsBothDirections(t *testing.T) {
 	w := newNet(2, 2)
