--- a/bundle/route.go
+++ b/bundle/route.go
@@ -141,14 +141,14 @@
 	return best
 }
 
-// Anywhere reports whether a region may serve all routes of a host.
-func (t *Table) Anywhere(host string, region ident.Region) bool {
+// Excluded returns how many routes of a host a region may not serve.
+func (t *Table) Excluded(host string, region ident.Region) (n int) {
 	for _, r := range t.byHost[canonicalHost(host)] {
 		if !r.Allows(region) {
-			return false
+			n++
 		}
 	}
-	return true
+	return n
 }
 
 // Spread picks a service of the route; point lies between 0 and 1.
--- a/bundle/route_test.go
+++ b/bundle/route_test.go
@@ -65,15 +65,15 @@
 	}
 }
 
-// Guards against callers that are led to a region that one of a host's routes excludes.
-func TestAnywhere(t *testing.T) {
+// Guards against callers that are led to a region that more of a host's routes exclude.
+func TestExcluded(t *testing.T) {
 	bound := newRoute("bound", "h.example", "/b/")
 	bound.Homes = []ident.Region{"r1", "r2"}
 	m := table(newRoute("free", "h.example", "/f/"), bound, newRoute("other", "o.example", "/"))
 	require.NoError(t, m.Index())
-	require.True(t, m.Anywhere("h.example", "r1"))
-	require.False(t, m.Anywhere("H.example:80", "r3"))
-	require.True(t, m.Anywhere("o.example", "r3"))
+	require.Equal(t, 0, m.Excluded("h.example", "r1"))
+	require.Equal(t, 1, m.Excluded("H.example:80", "r3"))
+	require.Equal(t, 0, m.Excluded("o.example", "r3"))
 }
 
 // Guards against traffic that ignores the weights of a split route.
--- a/gate/directory.go
+++ b/gate/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 
 	"go.uber.org/zap"
@@ -27,7 +28,7 @@
 }
 
 // answerDirectory names the instances that a caller should use: those of its region, or
-// else those of regions that may see all that the host's callers send, or else all.
+// else those of the regions that may see most of what the host's callers send.
 func (s *Server) answerDirectory(w http.ResponseWriter, r *http.Request) {
 	q := s.dialect.Question(r)
 	addresses := s.locate(q)
@@ -36,6 +37,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	s.log.Debug("directory", zap.String("host", q.Host), zap.String("region", string(q.Region)), zap.Strings("named", addresses))
 	life := validity
 	if s.settings.Validity > 0 {
 		life = min(life, s.settings.Validity)
@@ -48,40 +50,55 @@
 
 func (s *Server) locate(q Question) []string {
 	view := s.node.View()
-	alive := view.Alive
+	alive, stopping := view.Alive, view.Stopping
 	self := mesh.Record{Region: s.settings.Region, Front: s.settings.Front}
 	if s.state.ready() && !s.draining.Load() {
 		alive = append(alive, self)
 	}
-	near, allowed, rest := s.sorted(q, alive)
-	if len(near)+len(allowed) == 0 {
-		// During a rolling restart the replacements are there within seconds; until then a
-		// caller's data must not be led elsewhere.
-		near, allowed, _ = s.sorted(q, view.Stopping)
+	near := func(r mesh.Record) bool { return r.Region == q.Region }
+	if named := fronts(alive, near); len(named) > 0 {
+		return s.some(named)
 	}
-	for _, named := range [][]string{near, allowed, rest} {
-		if len(named) > 0 {
-			return s.some(named)
+	best := s.fewest(q.Host, alive, stopping)
+	home := func(r mesh.Record) bool { return s.excluded(q.Host, r) == best }
+	if named := fronts(alive, home); len(named) > 0 {
+		return s.some(named)
+	}
+	// During a rolling restart the replacements are there within seconds; until then a
+	// caller's data must not be led elsewhere.
+	if named := fronts(stopping, func(r mesh.Record) bool { return near(r) || home(r) }); len(named) > 0 {
+		return s.some(named)
+	}
+	return s.some(fronts(alive, func(mesh.Record) bool { return true }))
+}
+
+// excluded returns how many routes of a host an instance's region may not serve.
+func (s *Server) excluded(host string, r mesh.Record) int {
+	if table := s.state.table.Load(); table != nil {
+		return table.Excluded(host, r.Region)
+	}
+	return 0
+}
+
+// fewest returns the least number of excluded routes among the instances.
+func (s *Server) fewest(host string, lists ...[]mesh.Record) int {
+	best := math.MaxInt
+	for _, list := range lists {
+		for _, r := range list {
+			best = min(best, s.excluded(host, r))
 		}
 	}
-	return nil
+	return best
 }
 
-// sorted divides instances into those of the caller's region, those of regions that may
-// see all that the host's callers send, and the rest.
-func (s *Server) sorted(q Question, instances []mesh.Record) (near, allowed, rest []string) {
-	table := s.state.table.Load()
+// fronts returns the addresses for callers of the instances that fit.
+func fronts(instances []mesh.Record, fits func(mesh.Record) bool) (addresses []string) {
 	for _, r := range instances {
-		switch {
-		case r.Region == q.Region:
-			near = append(near, r.Front)
-		case table != nil && table.Anywhere(q.Host, r.Region):
-			allowed = append(allowed, r.Front)
-		default:
-			rest = append(rest, r.Front)
+		if fits(r) {
+			addresses = append(addresses, r.Front)
 		}
 	}
-	return near, allowed, rest
+	return addresses
 }
 
 // some returns as many addresses as an answer may name.
