--- a/bundle/route.go
+++ b/bundle/route.go
@@ -63,22 +63,18 @@
 	Connections int
 	// ColdRate is how many requests a second an endpoint with a cold start takes; 0 means unbounded.
 	ColdRate float64
-	// ColdSpan is how long an endpoint is cold after its start.
-	ColdSpan clock.Span
 	// Engine says that the endpoints are model engines.
 	Engine bool
 	// Memory is an engine's KV cache in tokens.
 	Memory ident.Tokens
-	// Stride is how many tokens one event of a stream may hold; 0 if unknown.
-	Stride int
 }
 
 // Bounds limits what callers may send and how long they may take.
 type Bounds struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout clock.Span
-	IdleTimeout   clock.Span
+	// BodyBytes is the largest body.
+	BodyBytes int64
+	// IdleTimeout is how long a connection may be idle; 0 for no bound.
+	IdleTimeout clock.Span
 }
 
 // Table is the routing part of a configuration version. It is never modified.
--- a/gate/answer.go
+++ b/gate/answer.go
@@ -86,7 +86,7 @@
 		f.abort("resumed stream failed")
 		return
 	}
-	if f.promises(f.held.status) {
+	if promises(f.held.status) {
 		// The status would say that the request was not run.
 		f.fail(http.StatusBadGateway, "endpoint failed")
 		return
@@ -104,7 +104,7 @@
 }
 
 // promises reports whether a status tells a caller that its request was not run.
-func (f *flight) promises(status int) bool {
+func promises(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
--- a/gate/events.go
+++ b/gate/events.go
@@ -44,7 +44,7 @@
 		case errors.Is(err, io.EOF):
 			return t.complete(answer, pending)
 		case err != nil || len(pending) > maxEvent:
-			return t.interrupted(ctx, err)
+			return t.broken(ctx, err)
 		}
 	}
 }
@@ -104,12 +104,6 @@
 	return ended
 }
 
-// interrupted handles a stream that ended early. One that may be resumed goes on after
-// the last event at another endpoint.
-func (t *try) interrupted(ctx context.Context, err error) result {
-	return t.broken(ctx, err)
-}
-
 // lastID returns the id of the last event, or "" if none has one.
 func lastID(events []byte) string {
 	for len(events) > 0 {
--- a/gate/front.go
+++ b/gate/front.go
@@ -85,7 +85,7 @@
 		s: s, writer: w, request: r, table: t, route: route, head: head, header: header,
 		arrived: arrived, deadline: arrived.Add(limit), lastEvent: head.LastEvent,
 		ask: pool.Ask{
-			Service: service, Engine: backend.Engine, Memory: backend.Memory, ColdRate: backend.ColdRate,
+			Service: service, Engine: backend.Engine, Memory: backend.Memory, ColdRate: backend.ColdRate, Connections: backend.Connections,
 			Parts: head.Parts, Prompt: head.Prompt, Output: head.Output, Target: route.Target, Homes: route.Homes,
 		},
 	}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -34,6 +34,9 @@
 	// memoryPenalty is the least wait at an endpoint without memory, by the mean time that a
 	// request takes.
 	memoryPenalty = 0.25
+	// connectionShare is the part of an endpoint's connections that is used; the rest are kept
+	// ones and health checks.
+	connectionShare = 0.8
 	// coldShare is the part of the rate of a cold endpoint that its owner uses, so that two
 	// instances that both take themselves for the owner stay below the bound.
 	coldShare = 0.7
@@ -103,12 +106,21 @@
 	if !e.usable(now) || p.evacuated[e.Zone] || now.Before(e.fullUntil) || slices.Contains(a.Avoid, e.ID) {
 		return false
 	}
+	if a.Connections > 0 && len(e.sends) >= p.connections(a) {
+		return false
+	}
 	if !e.cold(now) || a.ColdRate <= 0 {
 		return true
 	}
 	return p.owns(e) && !now.Before(e.coldNext)
 }
 
+// connections is this instance's part of the connections that an endpoint takes. The
+// endpoint resets those beyond, with the requests on them.
+func (p *Pool) connections(a Ask) int {
+	return max(1, int(connectionShare*float64(a.Connections))/max(1, len(p.members)))
+}
+
 // owns reports whether this instance alone may send to a cold endpoint. The others can't
 // know how much it sends.
 func (p *Pool) owns(e *endpoint) bool {
--- a/pool/doc.go
+++ b/pool/doc.go
@@ -49,7 +49,10 @@
 	Memory ident.Tokens
 	// ColdRate is how many requests a second a cold endpoint takes.
 	ColdRate float64
-	Parts    []Part
+	// Connections is the most connections that an endpoint takes from all instances; 0 for
+	// no bound.
+	Connections int
+	Parts       []Part
 	// Prompt is the whole prompt, Output the most tokens of the answer.
 	Prompt ident.Tokens
 	Output ident.Tokens
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -188,6 +188,21 @@
 	require.NotEqual(t, first.Endpoint, next.Endpoint)
 }
 
+// Guards against more connections to an endpoint than it takes from all instances.
+func TestConnectionsAreShared(t *testing.T) {
+	p := newPool(info("a"))
+	p.Members([]ident.Entry{"i1", "i2"}, true)
+	ask := plain
+	ask.Connections = 10
+	for range 4 {
+		c, ok := p.Choose(start, ask)
+		require.True(t, ok)
+		p.Begin(start, ask, c)
+	}
+	_, ok := p.Choose(start, ask)
+	require.False(t, ok)
+}
+
 // Guards against work of other instances that is not counted, or counted for ever.
 func TestPeerWorkCounts(t *testing.T) {
 	p := newPool(infos(2)...)
