perf(pool): measure the time between regions and the speed of reading

Cause: both were constants that fitted the deployments at hand (115 ms, 40 tokens a ms). Change: messages between instances carry times that give the round trip; the speed is learnt from prompts that had nothing ahead of them.

--- a/gate/hop.go
+++ b/gate/hop.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// hopDelay is the time that a request and the beginning of its answer take between regions.
-	hopDelay = 115 * clock.Millisecond
+	// defaultTrip is the time that a request and the beginning of its answer are taken to need
+	// between regions until it has been measured, and hopWork what both instances add.
+	defaultTrip = 100 * clock.Millisecond
+	hopWork     = 5 * clock.Millisecond
 	// hopMargin is by how much another region must be better: bytes between regions cost.
 	hopMargin = 60 * clock.Millisecond
 	// hopLife is how long a hop counts as not yet seen in what the region tells of itself.
@@ -66,9 +68,14 @@
 			wait += clock.Span(over) * f.ask.Target / clock.Span(4*v.Slots)
 		}
 		delay, cost := s.pool.Elsewhere(now, f.ask, g.Region == home)
+		trip := g.Trip
+		if trip == 0 {
+			trip = defaultTrip
+		}
+		trip += hopWork
 		h := hop{
 			region: g.Region, address: hops[f.s.random()%uint64(len(hops))],
-			wait: wait, delay: wait + delay + hopDelay, cost: wait + cost + hopDelay,
+			wait: wait, delay: wait + delay + trip, cost: wait + cost + trip,
 		}
 		if !found || h.cost < best.cost {
 			best, found = h, true
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -65,6 +65,11 @@
 	Facts
 	// Reply asks for a message at once.
 	Reply bool
+	// Sent is the sender's time, Echo the last such time that came from the receiver and Held
+	// how long ago that was. They give the receiver the time of a round trip.
+	Sent clock.Time
+	Echo clock.Time
+	Held clock.Span
 }
 
 // Facts are what an instance tells of endpoints and requests.
@@ -103,6 +108,8 @@
 	aliveSpan = 1800 * clock.Millisecond
 	// aliveRounds is how many turns through all instances make that time in a large fleet.
 	aliveRounds = 3
+	// tripPart is the part, as a divisor, by which an estimate of a round trip grows.
+	tripPart = 16
 	// regionSpan is how long no message may come from another region before its instances
 	// don't count as alive, and regionRounds the least number of rounds in that time.
 	regionSpan   = 2 * clock.Second
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -20,7 +20,10 @@
 	news   clock.Time
 	direct clock.Time
 	// mutual says that the peer lately heard from this instance.
-	mutual   bool
+	mutual bool
+	// sent is the sender's time in its last message, trip the least time of a round trip lately.
+	sent     clock.Time
+	trip     clock.Span
 	services []pool.Summary
 	summary  clock.Time
 }
@@ -108,7 +111,10 @@
 }
 
 func (t *Table) message(now clock.Time, p *peer) Message {
-	return Message{From: t.self, Heard: now.Sub(p.direct) < t.span(p), Records: t.sample(now, p.Name)}
+	return Message{
+		From: t.self, Heard: now.Sub(p.direct) < t.span(p), Records: t.sample(now, p.Name),
+		Sent: now, Echo: p.sent, Held: now.Sub(p.direct),
+	}
 }
 
 // toSeeds greets seeds at which no live instance is known.
@@ -189,7 +195,10 @@
 	if p == nil || p.Incarnation != m.From.Incarnation {
 		return nil
 	}
-	p.direct, p.mutual = now, m.Heard
+	p.direct, p.mutual, p.sent = now, m.Heard, m.Sent
+	if m.Echo > 0 {
+		p.measure(now.Sub(m.Echo) - m.Held)
+	}
 	t.heard[p.Region] = now
 	if m.Services != nil {
 		p.services, p.summary = m.Services, now
@@ -200,6 +209,18 @@
 	return nil
 }
 
+// measure takes the time of a round trip. Delays beyond the least one come and go; the
+// estimate follows them slowly.
+func (p *peer) measure(trip clock.Span) {
+	switch {
+	case trip < 0:
+	case p.trip == 0 || trip < p.trip:
+		p.trip = trip
+	default:
+		p.trip += (trip - p.trip) / tripPart
+	}
+}
+
 // learn takes a record if it is newer than the known one.
 func (t *Table) learn(now clock.Time, r Record) {
 	if r.Name == t.self.Name || r.Name == "" {
@@ -297,6 +318,8 @@
 	// Hops are the addresses of instances that hear this one and are heard by it.
 	Hops     []string
 	Services []pool.Summary
+	// Trip is the least time of a round trip to any of them; 0 if unknown.
+	Trip clock.Span
 }
 
 // Regions returns the other regions that can be reached.
@@ -313,6 +336,9 @@
 			byName[p.Region] = r
 		}
 		r.Hops = append(r.Hops, p.Hop)
+		if p.trip > 0 && (r.Trip == 0 || p.trip < r.Trip) {
+			r.Trip = p.trip
+		}
 		if p.summary > newest[p.Region] && now.Sub(p.summary) < summaryLife {
 			newest[p.Region], r.Services = p.summary, p.services
 		}
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -174,6 +174,23 @@
 	require.Equal(t, want, got)
 }
 
+// Guards against a delay between regions that is assumed instead of measured.
+func TestTripIsMeasured(t *testing.T) {
+	a := mesh.NewTable(1000, mesh.Record{Name: "a", Region: "r1", Mesh: "a"}, nil, 1)
+	b := mesh.NewTable(70_000, mesh.Record{Name: "b", Region: "r2", Mesh: "b", State: mesh.Ready}, []string{"a"}, 2)
+	now, offset := clock.Time(1000), clock.Span(69_000) // the clocks differ
+	for range 10 {
+		now = now.Add(200)
+		for _, l := range b.Round(now.Add(offset), mesh.Facts{}) {
+			a.Hear(now.Add(40), l.Message)
+		}
+		for _, l := range a.Round(now.Add(100), mesh.Facts{}) {
+			b.Hear(now.Add(offset+100+30), l.Message)
+		}
+	}
+	require.Equal(t, clock.Span(70), a.Regions(now.Add(40))[0].Trip)
+}
+
 // Guards against an old record that replaces a newer one.
 func TestOldRecordsAreIgnored(t *testing.T) {
 	table := mesh.NewTable(1000, mesh.Record{Name: "a", Region: "r"}, nil, 1)
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -11,8 +11,13 @@
 )
 
 const (
-	// readRate is how many prompt tokens an engine reads in a ms, for comparing endpoints.
-	readRate = 40.0
+	// defaultRate is how many prompt tokens an engine is taken to read in a ms until prompts
+	// have been seen. A sample needs rateTokens, counts rateWeight, and may differ from the
+	// estimate by rateBound times.
+	defaultRate = 40.0
+	rateTokens  = 2000
+	rateWeight  = 0.03
+	rateBound   = 2.0
 	// readWeight weighs the reading of a prompt against waiting: it also holds up the other
 	// requests of the endpoint, and what is read again displaces what others need.
 	readWeight = 3.0
@@ -98,7 +103,7 @@
 	for _, e := range s.local {
 		behind += e.work(now).reading
 	}
-	ms := float64(behind) / readRate / float64(len(s.local))
+	ms := float64(behind) / s.rate / float64(len(s.local))
 	return readWeight * min(maxPressure, 1+ms/pressureSpan)
 }
 
@@ -186,7 +191,7 @@
 	if home {
 		missing -= float64(sharedTokens(a.Parts)) * (1 - homeShare)
 	}
-	read := missing / readRate
+	read := missing / s.rate
 	return clock.Span(s.first + read), clock.Span(s.first + read*s.readWeight(now))
 }
 
@@ -208,9 +213,9 @@
 	if limit := float64(a.Memory) * memoryShare; limit > 0 && float64(need) > limit {
 		wait += s.hold * (float64(need)/limit - 1 + memoryPenalty)
 	}
-	ahead := float64(w.reading) / readRate
-	delay := wait + (ahead+missing/readRate+s.first)*slow
-	cost := wait + (ahead+s.first)*slow + missing/readRate*a.weight*slow + float64(w.count)*companyCost
+	ahead := float64(w.reading) / s.rate
+	delay := wait + (ahead+missing/s.rate+s.first)*slow
+	cost := wait + (ahead+s.first)*slow + missing/s.rate*a.weight*slow + float64(w.count)*companyCost
 	c.Wait, c.Delay, c.Cost = clock.Span(wait+ahead*slow), clock.Span(delay), clock.Span(cost)
 	return c, cost
 }
@@ -260,12 +265,22 @@
 		v := p.service(s.ask.Service)
 		base := float64(took)
 		if s.ask.Engine {
-			base -= float64(s.choice.Missing) / readRate
+			v.learnRate(float64(s.choice.Missing), base)
+			base -= float64(s.choice.Missing) / v.rate
 		}
 		v.first += 0.02 * (min(max(base, 1), 4*v.first) - v.first)
 	}
 }
 
+// learnRate takes the time that the reading of a prompt took with nothing ahead of it.
+func (s *service) learnRate(tokens, ms float64) {
+	if tokens < rateTokens || ms <= s.first {
+		return
+	}
+	sample := min(rateBound*s.rate, max(s.rate/rateBound, tokens/(ms-s.first)))
+	s.rate += rateWeight * (sample - s.rate)
+}
+
 // End records how a send ended.
 func (p *Pool) End(now clock.Time, s *Send, o Outcome) {
 	e := s.endpoint
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -53,6 +53,8 @@
 	hold float64
 	// first is the mean time to the first byte without waiting or reading.
 	first float64
+	// rate is how many prompt tokens an endpoint reads in a ms.
+	rate float64
 }
 
 // Firm defaults of the estimates until requests have been seen.
@@ -177,7 +179,7 @@
 func (p *Pool) service(name ident.Service) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{hold: defaultHold, first: defaultFirst}
+		s = &service{hold: defaultHold, first: defaultFirst, rate: defaultRate}
 		p.services[name] = s
 	}
 	return s
@@ -307,7 +309,7 @@
 			}
 		}
 		if sum.Slots > 0 {
-			sum.Wait += clock.Span(float64(reading) / float64(usable) / readRate)
+			sum.Wait += clock.Span(float64(reading) / float64(usable) / s.rate)
 			all = append(all, sum)
 		}
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -203,6 +203,24 @@
 	require.False(t, ok)
 }
 
+// Guards against delays that are judged by an assumed reading speed although prompts were seen.
+func TestReadingSpeedIsLearnt(t *testing.T) {
+	p := newPool(info("a"))
+	now := start
+	var c pool.Choice
+	for i := range 200 {
+		now = now.Add(5 * clock.Second)
+		ask := prompt(uint64(i))
+		ask.Parts = nil
+		c, _ = p.Choose(now, ask)
+		s := p.Begin(now, ask, c)
+		now = now.Add(60 + 1700) // 10 tokens a ms
+		p.First(now, s)
+		p.End(now, s, pool.Done)
+	}
+	require.InDelta(t, 1760, float64(c.Delay), 400)
+}
+
 // Guards against work of other instances that is not counted, or counted for ever.
 func TestPeerWorkCounts(t *testing.T) {
 	p := newPool(infos(2)...)
