fix(wire): don't refuse the next request of a client within its bound

Cause: a server frees a request's place after it has written the answer, so that the next request of a client with 16 in progress could meet 16 and be told busy. Change: a server counts up to twice the client's bound.

--- a/wire/server.go
+++ b/wire/server.go
@@ -16,6 +16,9 @@
 const (
 	// maxConcurrent bounds the requests in progress per connection.
 	maxConcurrent = 16
+	// maxHandled bounds the requests that a server counts. It frees one only after the answer
+	// was written, when a client within its bound may already have sent the next.
+	maxHandled = 2 * maxConcurrent
 	// maxConnections bounds the memory for connections of one server: at the scale
 	// target a node has about 50.
 	maxConnections = 512
@@ -202,7 +205,7 @@
 	defer cancel()
 	n := &session{
 		s: s, peer: Peer{Address: raw.RemoteAddr().String()}, conn: secure,
-		slots: make(chan struct{}, maxConcurrent),
+		slots: make(chan struct{}, maxHandled),
 	}
 	for {
 		err := n.next(ctx)
@@ -241,7 +244,7 @@
 	case n.slots <- struct{}{}:
 	default:
 		n.s.busy.Inc(1)
-		return n.refuse(e, fault.Newf("handle", Busy, "%d requests in progress", maxConcurrent))
+		return n.refuse(e, fault.Newf("handle", Busy, "%d requests in progress", maxHandled))
 	}
 	n.s.wait.Go(func() {
 		defer func() { <-n.slots }()
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -240,6 +240,26 @@
 	}
 }
 
+// Guards against a client within its bound that is told "busy", because the server still
+// counts a request whose answer the client has.
+func TestFullConnectionIsNotBusy(t *testing.T) {
+	n := serve(t, current(newSecret))
+	a := client(t, wire.ClientConfig{Secrets: current(newSecret)})
+	failed := make(chan error, 16)
+	for range 16 {
+		go func() {
+			var err error
+			for i := 0; i < 400 && err == nil; i++ {
+				_, err = call(t, a, n.address, "echo", "x")
+			}
+			failed <- err
+		}()
+	}
+	for range 16 {
+		require.NoError(t, <-failed)
+	}
+}
+
 // Guards against connections that are kept for ever, and against more than one per address.
 func TestConnectionsAreBounded(t *testing.T) {
 	c := client(t, wire.ClientConfig{Secrets: current(newSecret), Idle: 200 * clock.Millisecond, Connections: 2})
