fix(logs): let a logger be used after it was closed

Cause: closing a logger closed the channel of its lines, so that a request that is cut off at the end of the grace time would bring the process down by logging its end. Change: the writer is stopped by a channel of its own; later lines are lost. The encoder of entry and gate is one. Result: TestLoggingAfterClose failed before.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -5,7 +5,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -16,6 +15,7 @@
 	"github.com/tanagerbridge/tanagerbridge/config"
 	"github.com/tanagerbridge/tanagerbridge/entry"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/logs"
 )
 
 func entryCommand() *cli.Command {
@@ -132,8 +132,6 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "--log-level")
 	}
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
 	out := zapcore.Lock(zapcore.AddSync(c.Root().ErrWriter))
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), out, l)), nil
+	return zap.New(zapcore.NewCore(logs.Encoder(), out, l)), nil
 }
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -43,11 +43,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
 	}
-	s := &sink{out: c.Out, lines: make(chan []byte, queueLines), done: make(chan struct{}), dropped: c.Dropped}
+	s := &sink{
+		out: c.Out, lines: make(chan []byte, queueLines), stop: make(chan struct{}), done: make(chan struct{}),
+		dropped: c.Dropped,
+	}
 	go s.run()
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), s, level)
+	core := zapcore.NewCore(Encoder(), s, level)
 	if c.Rate == 0 {
 		return &Logger{Logger: zap.New(core), sink: s}, nil
 	}
@@ -55,9 +56,17 @@
 	return &Logger{Logger: zap.New(bounded), sink: s}, nil
 }
 
-// Close writes the lines that wait. No line may be logged after it.
+// Encoder returns the encoder of all log lines of the project.
+func Encoder() zapcore.Encoder {
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
+	return zapcore.NewJSONEncoder(encoder)
+}
+
+// Close writes the lines that wait. Requests that are cut off at the end of a process may
+// still log after it; their lines are lost.
 func (l *Logger) Close() {
-	close(l.sink.lines)
+	close(l.sink.stop)
 	<-l.sink.done
 }
 
@@ -65,6 +74,7 @@
 type sink struct {
 	out     io.Writer
 	lines   chan []byte
+	stop    chan struct{}
 	done    chan struct{}
 	lost    atomic.Int64
 	dropped func(int64)
@@ -89,11 +99,11 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case line, ok := <-s.lines:
-			if !ok {
-				return
-			}
+		case line := <-s.lines:
 			s.write(line)
+		case <-s.stop:
+			s.write(nil)
+			return
 		case <-ticker.C:
 			if n := s.lost.Swap(0); n > 0 && s.dropped != nil {
 				s.dropped(n)
@@ -105,11 +115,7 @@
 // write writes a line and those that wait behind it in one call.
 func (s *sink) write(line []byte) {
 	for range len(s.lines) {
-		next, ok := <-s.lines
-		if !ok {
-			break
-		}
-		line = append(line, next...)
+		line = append(line, <-s.lines...)
 	}
 	// There is no other place to report a failure of the log itself.
 	_, _ = s.out.Write(line)
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -43,6 +43,18 @@
 	require.Contains(t, out.String(), "important")
 }
 
+// Guards against a request that is cut off when the process ends and brings it down by
+// logging its end.
+func TestLoggingAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	l, err := logs.New(logs.Config{Out: &out, Level: "info"})
+	require.NoError(t, err)
+	l.Info("before")
+	l.Close()
+	require.NotPanics(t, func() { l.Info("after") })
+	require.Contains(t, out.String(), "before")
+}
+
 // stuck is a writer that does not return until it is released.
 type stuck struct{ release chan struct{} }
 
