refactor(gate): place a request in one pass and call what exists

Each request worked out the work of all endpoints, the preferred ones and the view of all instances two to four times; sleeping, rendezvous ownership and error bodies were written again beside clock, watch and caller; a few fields and functions were dead; some numbers had no name. Change: pool.Plan holds what a placing rests on; mesh answers single questions; clock.Sleep, watch.Watchers and caller.Envelope serve both; the digest of the list changes with its entries; dead code is gone. Own error bodies now carry the reasons of package caller. The owner of a cold endpoint is another one, by the same rule.

--- a/bundle/route.go
+++ b/bundle/route.go
@@ -30,12 +30,8 @@
 	Timeout clock.Span `json:"timeout"`
 	// Target is the time to the answer, or to a stream's first event, within which it earns most.
 	Target clock.Span `json:"target"`
-	// Gap is the longest pause between the events of a stream that is in time; 0 for none.
-	Gap clock.Span `json:"gap"`
 	// Priority ranks routes; 0 is the most urgent.
 	Priority int `json:"priority"`
-	// Sticky says that requests name the parts of their prompts.
-	Sticky bool `json:"sticky"`
 	// Homes are the regions that may serve the route; none means all.
 	Homes []ident.Region `json:"homes"`
 }
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -72,3 +73,15 @@
 
 // Advance moves the clock forward by s and returns the new time.
 func (m *Manual) Advance(s Span) Time { return Time(m.now.Add(int64(s))) }
+
+// Sleep waits for s and reports whether the whole time passed before ctx ended.
+func Sleep(ctx context.Context, s Span) bool {
+	timer := time.NewTimer(s.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/gate/answer.go
+++ b/gate/answer.go
@@ -10,6 +10,7 @@
 	"github.com/tanagerbridge/tanagerbridge/caller"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 	"github.com/tanagerbridge/tanagerbridge/relay"
 )
@@ -114,12 +115,10 @@
 
 // copyAnswerHeader copies what is not about one connection.
 func copyAnswerHeader(to, from http.Header) {
-	drop := connectionHeaders(from)
-	for name, values := range from {
-		if drop[name] || strings.HasPrefix(name, "Tanager-") {
-			continue
+	for name, values := range forwarded(from) {
+		if !strings.HasPrefix(name, "Tanager-") {
+			to[name] = values
 		}
-		to[name] = values
 	}
 	if _, ok := to["Content-Type"]; !ok {
 		to["Content-Type"] = nil // keeps the library from guessing one
@@ -129,37 +128,36 @@
 	}
 }
 
-// connectionHeaders returns the names of headers that concern one connection.
-func connectionHeaders(h http.Header) map[string]bool {
-	drop := map[string]bool{
-		"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
-		"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-		"Content-Length": true, "Expect": true,
+// connectionHeaders are the headers that concern one connection, beside those that the
+// Connection header names.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Expect": true,
+}
+
+// forwarded returns the headers that are not about one connection. The values are shared.
+func forwarded(h http.Header) http.Header {
+	kept := make(http.Header, len(h))
+	for name, values := range h {
+		if !connectionHeaders[name] {
+			kept[name] = values
+		}
 	}
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
-			drop[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+			delete(kept, http.CanonicalHeaderKey(strings.TrimSpace(name)))
 		}
 	}
-	return drop
-}
-
-// problem is the body of an answer of the gateway's own.
-type problem struct {
-	Error struct {
-		Kind    string     `json:"kind"`
-		Ran     caller.Ran `json:"ran"`
-		Message string     `json:"message"`
-		Request string     `json:"request,omitempty"`
-	} `json:"error"`
+	return kept
 }
 
-func respond(w http.ResponseWriter, status int, ran caller.Ran, kind, message, request string) {
-	var p problem
-	p.Error.Kind, p.Error.Ran, p.Error.Message, p.Error.Request = kind, ran, message, request
-	body, err := json.Marshal(p)
+func respond(w http.ResponseWriter, status int, ran caller.Ran, reason caller.Reason, message, request string) {
+	body, err := json.Marshal(caller.Envelope{Error: caller.Refusal{
+		Kind: reason, Ran: ran, Message: message, Request: ident.Request(request),
+	}})
 	if err != nil {
-		body = nil // a problem consists of texts and can always be encoded
+		body = nil // a refusal consists of texts and can always be encoded
 	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
@@ -178,7 +176,7 @@
 	f.last = reason
 	f.s.dialect.Later(f.writer.Header(), min(after, max(minRetryAfter, f.left()/3)))
 	f.s.closing(f.writer.Header())
-	respond(f.writer, http.StatusServiceUnavailable, caller.RanNo, "overload", reason, f.head.Attempt)
+	respond(f.writer, http.StatusServiceUnavailable, caller.RanNo, caller.ReasonOverload, reason, f.head.Attempt)
 	f.done("refused", http.StatusServiceUnavailable)
 }
 
@@ -189,7 +187,7 @@
 		return
 	}
 	f.s.closing(f.writer.Header())
-	respond(f.writer, status, caller.RanUnknown, "endpoint", reason, f.head.Attempt)
+	respond(f.writer, status, caller.RanUnknown, caller.ReasonEndpoint, reason, f.head.Attempt)
 	f.done("failed", status)
 }
 
--- a/gate/directory.go
+++ b/gate/directory.go
@@ -49,8 +49,7 @@
 }
 
 func (s *Server) locate(q Question) []string {
-	view := s.node.View()
-	alive, stopping := view.Alive, view.Stopping
+	alive := s.node.Alive()
 	self := mesh.Record{Region: s.settings.Region, Front: s.settings.Front}
 	if s.state.ready() && !s.draining.Load() {
 		alive = append(alive, self)
@@ -59,6 +58,7 @@
 	if named := fronts(alive, near); len(named) > 0 {
 		return s.some(named)
 	}
+	stopping := s.node.Stopping()
 	best := s.fewest(q.Host, alive, stopping)
 	home := func(r mesh.Record) bool { return s.excluded(q.Host, r) == best }
 	if named := fronts(alive, home); len(named) > 0 {
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -26,6 +26,10 @@
 	Listening Kind = "listening"
 	// Invalid says that a setting can't be used.
 	Invalid Kind = "invalid"
+	// Peer says that what another instance answered can't be used.
+	Peer Kind = "peer"
+	// Silent says that an endpoint has not answered in time.
+	Silent Kind = "silent"
 )
 
 // Error is the error of this package.
--- a/gate/drain.go
+++ b/gate/drain.go
@@ -35,7 +35,7 @@
 	s.draining.Store(true)
 	s.log.Info("draining", zap.Int64("active", s.metrics.active.Count()), zap.Int64("grace", int64(grace)))
 	s.announce(mesh.Leaving)
-	sleepSpan(ctx, min(linger, grace/2))
+	clock.Sleep(ctx, min(linger, grace/2))
 	ctx, cancel := context.WithTimeout(ctx, max(0, end.Sub(s.clock.Now())).Duration())
 	defer cancel()
 	var group sync.WaitGroup
--- a/gate/flight.go
+++ b/gate/flight.go
@@ -10,7 +10,6 @@
 	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
-	"github.com/tanagerbridge/tanagerbridge/mesh"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 	"github.com/tanagerbridge/tanagerbridge/relay"
 )
@@ -27,9 +26,9 @@
 	waitStep = 15 * clock.Millisecond
 	// waitShare is the part of a route's target for which a request waits for an endpoint.
 	waitShare = 8
-	// lateShare is the part of its target that an answer may be expected to take before the
-	// request is refused, in percent: work that comes too late delays the work behind it.
-	lateShare = 120
+	// latePercent is the part of its target that an answer may be expected to take before the
+	// request is refused: work that comes too late delays the work behind it.
+	latePercent = 120
 	// timeMargin is by how much an endpoint's time limit lies before the caller's.
 	timeMargin = 10 * clock.Millisecond
 	// minRetryAfter is the least time after which a caller is asked to come back.
@@ -61,7 +60,6 @@
 
 	arrived  clock.Time
 	deadline clock.Time
-	view     mesh.View
 
 	// sends counts what reached an endpoint or another instance, runs what may have run.
 	sends int
@@ -115,7 +113,7 @@
 		}
 		p, ok := f.find()
 		if !ok {
-			if f.mayWait() && sleepSpan(ctx, waitStep) {
+			if f.mayWait() && clock.Sleep(ctx, waitStep) {
 				continue
 			}
 			f.giveUp(p)
@@ -173,19 +171,19 @@
 // find returns the place that is expected to serve the request best.
 func (f *flight) find() (place, bool) {
 	var best place
+	var plan pool.Plan
 	found := false
-	home := f.home()
-	if f.route.Allows(f.s.settings.Region) {
-		f.s.state.locked(func(p *pool.Pool, now clock.Time) {
-			c, ok := p.Choose(now, f.ask)
-			if ok {
-				best, found = place{local: &c, delay: c.Delay, wait: c.Wait, cost: c.Cost}, true
-			}
-		})
-	}
+	f.s.state.locked(func(p *pool.Pool, now clock.Time) {
+		plan = p.Plan(now, f.ask)
+		if !f.route.Allows(f.s.settings.Region) {
+			return
+		}
+		if c, ok := p.Choose(now, plan); ok {
+			best, found = place{local: &c, delay: c.Delay, wait: c.Wait, cost: c.Cost}, true
+		}
+	})
 	if !f.hopped {
-		f.view = f.s.node.View()
-		h, ok := f.s.state.bestHop(f.s.clock.Now(), f, home)
+		h, ok := f.s.state.bestHop(f.s.clock.Now(), f, plan)
 		if ok && (!found || h.cost+hopMargin < best.cost) {
 			best, found = place{hop: &h, delay: h.delay, wait: h.wait, cost: h.cost}, true
 		}
@@ -194,27 +192,20 @@
 		best.reason = "no endpoint"
 		return best, false
 	}
-	if best.wait > 0 && best.delay > f.route.Target*lateShare/100 {
+	if best.wait > 0 && best.delay > f.route.Target*latePercent/100 {
 		best.reason = "overload"
 		return best, false
 	}
 	return best, true
 }
 
-// home returns the region whose endpoint is preferred for the parts of the prompt that
-// requests share, or "" if there is none.
-func (f *flight) home() (region ident.Region) {
-	f.s.state.locked(func(p *pool.Pool, _ clock.Time) { region = p.Home(f.ask) })
-	return region
-}
-
 // paid counts the arrival and tells whether the retry budget allows it.
 func (f *flight) paid() bool {
 	if f.sends == 0 {
 		f.s.state.first(f.ask.Service)
 		return true
 	}
-	return f.s.state.retry(f.ask.Service, max(1, f.view.Known))
+	return f.s.state.retry(f.ask.Service, f.s.node.Known())
 }
 
 // giveUp ends a request for which there is no place.
--- a/gate/front.go
+++ b/gate/front.go
@@ -1,13 +1,12 @@
 package gate
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/bundle"
@@ -45,14 +44,14 @@
 	table := s.state.table.Load()
 	if table == nil || !s.state.ready() {
 		s.dialect.Later(w.Header(), unreadyAfter)
-		respond(w, http.StatusServiceUnavailable, caller.RanNo, "unready", "no configuration yet", "")
+		respond(w, http.StatusServiceUnavailable, caller.RanNo, caller.ReasonUnready, "no configuration yet", "")
 		return
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := table.Match(r.Host, path)
 	if route == nil {
 		s.log.Info("no route", zap.String("host", r.Host), zap.String("path", path), zap.Uint64("version", uint64(table.Version)))
-		respond(w, http.StatusNotFound, caller.RanNo, "route", "no route for this host and path", "")
+		respond(w, http.StatusNotFound, caller.RanNo, caller.ReasonService, "no route for this host and path", "")
 		return
 	}
 	f := s.newFlight(w, r, table, route, arrived)
@@ -69,10 +68,7 @@
 
 func (s *Server) newFlight(w http.ResponseWriter, r *http.Request, t *bundle.Table, route *bundle.Route, arrived clock.Time) *flight {
 	head := s.dialect.Head(r.Header)
-	header := r.Header.Clone()
-	for name := range connectionHeaders(header) {
-		delete(header, name)
-	}
+	header := forwarded(r.Header)
 	delete(header, headerHop)
 	s.dialect.Strip(header)
 	limit := route.Timeout
@@ -107,28 +103,18 @@
 	if !f.reserve(size) {
 		return false
 	}
-	body := make([]byte, 0, size+1)
-	in := io.LimitReader(f.request.Body, limit+1)
-	for {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := in.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			f.reject(http.StatusBadRequest, "body can't be read")
-			return false
-		}
+	var body bytes.Buffer
+	body.Grow(int(size) + bytes.MinRead)
+	if _, err := body.ReadFrom(io.LimitReader(f.request.Body, limit+1)); err != nil {
+		f.reject(http.StatusBadRequest, "body can't be read")
+		return false
 	}
-	if int64(len(body)) > limit {
+	if int64(body.Len()) > limit {
 		f.reject(http.StatusRequestEntityTooLarge, "body is too large")
 		return false
 	}
-	f.body = body
-	return f.reserve(int64(len(body)) - size)
+	f.body = body.Bytes()
+	return f.reserve(int64(body.Len()) - size)
 }
 
 // reserve books memory for the body, or refuses the request if there is none. release gives
@@ -158,18 +144,6 @@
 	// above the limit is not read to its end.
 	_, _ = io.CopyN(io.Discard, f.request.Body, maxRejected)
 	f.writer.Header().Set("Connection", "close")
-	respond(f.writer, status, caller.RanNo, "malformed", reason, f.head.Attempt)
+	respond(f.writer, status, caller.RanNo, caller.ReasonMalformed, reason, f.head.Attempt)
 	f.done("rejected", status)
 }
-
-// sleepSpan waits and reports whether the whole time passed.
-func sleepSpan(ctx context.Context, s clock.Span) bool {
-	t := time.NewTimer(s.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/gate/hop.go
+++ b/gate/hop.go
@@ -17,6 +17,8 @@
 	hopMargin = 60 * clock.Millisecond
 	// hopLife is how long a hop counts as not yet seen in what the region tells of itself.
 	hopLife = 400 * clock.Millisecond
+	// turnover is how many requests a slot is taken to serve within a target.
+	turnover = 4
 	// headerHop marks a request that another instance passes on. Such a request goes to an
 	// endpoint of this region or nowhere, so that it can't travel in a loop.
 	headerHop = "Tanager-Hop"
@@ -48,12 +50,12 @@
 }
 
 // bestHop returns the other region that is expected to serve a request best. It returns
-// false if none may serve it or can be reached. home is the region whose endpoint is
-// preferred for the prompt.
-func (s *state) bestHop(now clock.Time, f *flight, home ident.Region) (best hop, found bool) {
+// false if none may serve it or can be reached.
+func (s *state) bestHop(now clock.Time, f *flight, plan pool.Plan) (best hop, found bool) {
+	regions := f.s.node.Regions()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, g := range f.view.Regions {
+	for _, g := range regions {
 		if !f.route.Allows(g.Region) {
 			continue
 		}
@@ -65,9 +67,9 @@
 		v := g.Services[i]
 		wait := v.Wait
 		if over := s.hops.recent(now, hopKey{g.Region, f.ask.Service}) - v.Free; over > 0 {
-			wait += clock.Span(over) * f.ask.Target / clock.Span(4*v.Slots)
+			wait += clock.Span(over) * f.ask.Target / clock.Span(turnover*v.Slots)
 		}
-		delay, cost := s.pool.Elsewhere(now, f.ask, g.Region == home)
+		delay, cost := s.pool.Elsewhere(plan, g.Region)
 		trip := g.Trip
 		if trip == 0 {
 			trip = defaultTrip
--- a/gate/list.go
+++ b/gate/list.go
@@ -62,20 +62,25 @@
 		j.first = s.At
 	}
 	seen := make(map[string]bool, len(infos))
-	j.digest = 0
 	for _, i := range infos {
 		key := prefix + string(i.ID)
 		seen[key] = true
 		if i.Cold > 0 {
 			i.Cold = 1 // only whether the endpoint is cold matters
 		}
-		j.digest += hash(key, i)
-		if old, ok := j.meaning[key]; !ok || old != i {
-			j.meaning[key], j.changed[key] = i, s.At
+		old, known := j.meaning[key]
+		if known && old == i {
+			continue
+		}
+		if known {
+			j.digest -= hash(key, old)
 		}
+		j.digest += hash(key, i)
+		j.meaning[key], j.changed[key] = i, s.At
 	}
-	for key := range j.meaning {
+	for key, old := range j.meaning {
 		if !seen[key] {
+			j.digest -= hash(key, old)
 			delete(j.meaning, key)
 			delete(j.changed, key)
 			j.gone = append(j.gone, departure{key, s.At})
@@ -141,47 +146,43 @@
 	return next
 }
 
-// readers returns the instances of the region that read the list, as far as this one knows.
-func (s *Server) readers() []ident.Entry {
-	names := []ident.Entry{s.settings.Name}
-	for _, r := range s.node.View().Alive {
+// readers returns the instances of the region that read the list, as far as this one
+// knows, and where to ask them.
+func (s *Server) readers() (names []ident.Entry, hops map[ident.Entry]string) {
+	names, hops = []ident.Entry{s.settings.Name}, make(map[ident.Entry]string)
+	for _, r := range s.node.Alive() {
 		if r.Region == s.settings.Region {
 			names = append(names, r.Name)
+			hops[r.Name] = r.Hop
 		}
 	}
-	return watch.Watchers("list", names, listReaders)
+	return watch.Watchers("list", names, listReaders), hops
 }
 
 // followList keeps the list of endpoints up to date, by reading the store or by asking an
 // instance that does.
 func (s *Server) followList(ctx context.Context, own *store.Follower, interval clock.Span) {
 	for ctx.Err() == nil {
-		readers := s.readers()
-		if !slices.Contains(readers, s.settings.Name) && s.askList(ctx, readers) {
-			sleepSpan(ctx, interval/2)
+		readers, hops := s.readers()
+		name := readers[s.random()%uint64(len(readers))]
+		if !slices.Contains(readers, s.settings.Name) && s.askList(ctx, name, hops[name]) {
+			clock.Sleep(ctx, interval/2)
 			continue
 		}
 		if _, ok := own.Once(ctx); ok {
-			sleepSpan(ctx, interval)
+			clock.Sleep(ctx, interval)
 		}
 	}
 }
 
 // askList asks a reader for what has changed and tells whether that is recent enough.
-func (s *Server) askList(ctx context.Context, readers []ident.Entry) bool {
-	name := readers[s.random()%uint64(len(readers))]
-	address := ""
-	for _, r := range s.node.View().Alive {
-		if r.Name == name {
-			address = r.Hop
-		}
-	}
+func (s *Server) askList(ctx context.Context, name ident.Entry, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout.Duration())
 	defer cancel()
 	var d delta
 	err := s.ask(ctx, address, pathList+strconv.FormatInt(int64(s.state.listAfter()), 10), &d)
 	if err == nil && d.Age > orDefault(s.settings.ListBound)/maxListAge {
-		err = fault.Newf("list", Invalid, "list is %s old", d.Age)
+		err = fault.Newf("list", Peer, "list is %s old", d.Age)
 	}
 	if err != nil {
 		s.log.Info("no list from another instance", zap.String("of", string(name)), zap.Error(err))
@@ -205,7 +206,7 @@
 		return err
 	}
 	if r.StatusCode != http.StatusOK {
-		return fault.Newf("ask", Invalid, "status %d", r.StatusCode)
+		return fault.Newf("ask", Peer, "status %d", r.StatusCode)
 	}
 	return msgpack.Unmarshal(data, into)
 }
--- a/gate/server.go
+++ b/gate/server.go
@@ -19,6 +19,7 @@
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
+	"github.com/tanagerbridge/tanagerbridge/pool"
 	"github.com/tanagerbridge/tanagerbridge/store"
 )
 
@@ -41,8 +42,8 @@
 	controlInterval = 6 * clock.Second
 	// checkPause is the pause between two looks for endpoints to check.
 	checkPause = 50 * clock.Millisecond
-	// trimPause is the pause between two closings of idle connections.
-	trimPause = time.Second
+	// maintainPause is the pause between two rounds of maintenance.
+	maintainPause = time.Second
 )
 
 // Server is one running instance.
@@ -199,7 +200,7 @@
 	s.tasks.Go(func() { s.followList(ctx, list, interval) })
 	s.tasks.Go(func() { control.Run(ctx) })
 	s.tasks.Go(func() { every(ctx, checkPause.Duration(), s.check) })
-	s.tasks.Go(func() { every(ctx, trimPause, s.trim) })
+	s.tasks.Go(func() { every(ctx, maintainPause, s.maintain) })
 	s.tasks.Go(func() { every(ctx, viewPause.Duration(), s.learn) })
 }
 
@@ -224,9 +225,11 @@
 	}
 }
 
-// trim closes idle connections and passes on who may use cold endpoints.
-func (s *Server) trim(context.Context) {
-	s.state.meshChanged(s.node.View())
+// maintain closes idle connections, passes on who may use cold endpoints and tells the
+// others when the instance has become ready.
+func (s *Server) maintain(context.Context) {
+	names, settled := s.node.Neighbours()
+	s.state.locked(func(p *pool.Pool, _ clock.Time) { p.Members(names, settled) })
 	if s.state.ready() && !s.draining.Load() {
 		s.announce(mesh.Ready)
 	}
--- a/gate/share.go
+++ b/gate/share.go
@@ -60,7 +60,7 @@
 	if s.clock.Now().Sub(s.state.lastRead()) < viewAfter {
 		return
 	}
-	alive := s.node.View().Alive
+	alive := s.node.Alive()
 	if len(alive) == 0 {
 		return
 	}
--- a/gate/state.go
+++ b/gate/state.go
@@ -179,13 +179,6 @@
 	}
 }
 
-// meshChanged takes what is known of the instances of the region.
-func (s *state) meshChanged(v mesh.View) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pool.Members(v.Neighbours, v.Settled)
-}
-
 // heard takes what another instance tells.
 func (s *state) heard(from mesh.Record, f mesh.Facts) {
 	s.mu.Lock()
--- a/gate/try.go
+++ b/gate/try.go
@@ -26,7 +26,7 @@
 }
 
 // errSilent ends a send whose endpoint stays silent for too long.
-var errSilent = fault.Newf("send", Invalid, "endpoint is silent")
+var errSilent = fault.New("send", Silent)
 
 // arm bounds the wait for the first byte if another endpoint may be tried instead.
 func (t *try) arm() {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -59,7 +59,7 @@
 	for {
 		facts := n.c.Facts()
 		pause := round
-		n.send(n.look(func(t *Table, now clock.Time) []Letter {
+		n.send(get(n, func(t *Table, now clock.Time) []Letter {
 			t.Forget(now)
 			pause = t.Pause()
 			n.logAlive(len(t.Alive(now)))
@@ -97,11 +97,7 @@
 			n.c.Log.Warn("message can't be read", zap.Error(err))
 			continue
 		}
-		var answer *Letter
-		n.look(func(t *Table, now clock.Time) []Letter {
-			answer = t.Hear(now, m)
-			return nil
-		})
+		answer := get(n, func(t *Table, now clock.Time) *Letter { return t.Hear(now, m) })
 		n.c.Heard(m.From, m.Facts)
 		if answer != nil {
 			n.send([]Letter{*answer})
@@ -138,15 +134,9 @@
 	}
 }
 
-func (n *Node) look(fn func(*Table, clock.Time) []Letter) []Letter {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return fn(n.table, n.c.Clock.Now())
-}
-
 // SetState tells the others of this instance's new state at once.
 func (n *Node) SetState(s State) {
-	n.send(n.look(func(t *Table, now clock.Time) []Letter {
+	n.send(get(n, func(t *Table, now clock.Time) []Letter {
 		t.SetState(s)
 		return t.Farewell(now)
 	}))
@@ -154,41 +144,43 @@
 
 // SetSeeds replaces the seeds.
 func (n *Node) SetSeeds(seeds []string) {
-	n.look(func(t *Table, _ clock.Time) []Letter {
-		t.SetSeeds(seeds)
-		return nil
-	})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.SetSeeds(seeds)
+}
+
+// Alive returns the instances that are there and not leaving, this one apart.
+func (n *Node) Alive() []Record { return get(n, (*Table).Alive) }
+
+// Stopping returns the instances that have lately begun to leave.
+func (n *Node) Stopping() []Record { return get(n, (*Table).Stopping) }
+
+// Regions returns the other regions that can be reached.
+func (n *Node) Regions() []Region { return get(n, (*Table).Regions) }
+
+// Known returns how many instances there may be, this one among them.
+func (n *Node) Known() int {
+	return get(n, func(t *Table, _ clock.Time) int { return t.Known() })
 }
 
-// View is what is known of the other instances.
-type View struct {
-	Alive      []Record
-	Stopping   []Record
-	Regions    []Region
-	Neighbours []ident.Entry
-	Known      int
-	Settled    bool
+// Neighbours returns the names of all remembered instances of this region and whether the
+// others have had the time to make themselves known.
+func (n *Node) Neighbours() (names []ident.Entry, settled bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Neighbours(), n.table.Settled(n.c.Clock.Now())
 }
 
-// View returns what is known now.
-func (n *Node) View() (v View) {
-	n.look(func(t *Table, now clock.Time) []Letter {
-		v = View{
-			Alive: t.Alive(now), Stopping: t.Stopping(now), Regions: t.Regions(now),
-			Neighbours: t.Neighbours(), Known: t.Known(), Settled: t.Settled(now),
-		}
-		return nil
-	})
-	return v
+// get returns what the table says now.
+func get[T any](n *Node, fn func(*Table, clock.Time) T) T {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return fn(n.table, n.c.Clock.Now())
 }
 
 // State returns what this instance says of itself.
-func (n *Node) State() (s State) {
-	n.look(func(t *Table, _ clock.Time) []Letter {
-		s = t.Self().State
-		return nil
-	})
-	return s
+func (n *Node) State() State {
+	return get(n, func(t *Table, _ clock.Time) State { return t.Self().State })
 }
 
 // Address returns the address for datagrams.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -8,6 +8,7 @@
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/watch"
 )
 
 const (
@@ -45,6 +46,12 @@
 	// coldShare is the part of the rate of a cold endpoint that its owner uses, so that two
 	// instances that both take themselves for the owner stay below the bound.
 	coldShare = 0.7
+	// meanWeight is the weight of the newest request in the means of a service, firstBound by
+	// how many times it may exceed the mean time to the first byte, and calmPace the pace of an
+	// endpoint above which it doesn't count there.
+	meanWeight = 0.02
+	firstBound = 4
+	calmPace   = 1.2
 	// ejectSpan is how long a failing endpoint is left out at first, maxEject at most.
 	ejectSpan = 1500 * clock.Millisecond
 	maxEject  = 12 * clock.Second
@@ -58,53 +65,71 @@
 	ejectPart = 3
 )
 
-// Choose returns the endpoint of this region with the least expected delay. It returns
-// false if there is none.
-func (p *Pool) Choose(now clock.Time, a Ask) (Choice, bool) {
-	s := p.services[a.Service]
-	if s == nil {
-		return Choice{}, false
+// Plan is what the placing of a request rests on at one time.
+type Plan struct {
+	Ask
+	// Home is the region of the endpoint that is preferred for the prompt's shared parts among
+	// all regions, or "" without such parts.
+	Home  ident.Region
+	homes [2]*endpoint
+	// works is the work on the endpoints of this region, in their order.
+	works []work
+	// weight weighs reading against waiting.
+	weight float64
+}
+
+// Plan prepares the placing of a request.
+func (p *Pool) Plan(now clock.Time, a Ask) Plan {
+	s := p.service(a.Service)
+	l := Plan{Ask: a, homes: preferred(s.all, a), works: make([]work, len(s.local)), weight: readWeight}
+	if best := l.homes[0]; best != nil && a.Engine {
+		l.Home = best.Region
+	}
+	behind := ident.Tokens(0)
+	for i, e := range s.local {
+		l.works[i] = e.work(now)
+		behind += l.works[i].reading
 	}
-	var best *endpoint
-	var found Choice
+	if len(s.local) > 0 {
+		ms := float64(behind) / s.rate / float64(len(s.local))
+		l.weight = readWeight * min(maxPressure, 1+ms/pressureSpan)
+	}
+	return l
+}
+
+// Choose returns the endpoint of this region with the least expected delay. It returns
+// false if there is none. The plan must be of the same moment.
+func (p *Pool) Choose(now clock.Time, l Plan) (found Choice, ok bool) {
+	s := p.service(l.Service)
+	near := preferred(s.local, l.Ask)[0]
 	lowest := 0.0
-	a.weight = s.readWeight(now)
-	homes, near := preferred(s.all, a), preferred(s.local, a)
 	p.turn++
-	for i := range s.local {
-		e := s.local[(i+int(p.turn%uint64(len(s.local))))%len(s.local)]
-		if !p.eligible(now, e, a) {
+	for n := range s.local {
+		i := (n + int(p.turn%uint64(len(s.local)))) % len(s.local)
+		e := s.local[i]
+		if !p.eligible(now, e, l.Ask) {
 			continue
 		}
-		w := e.work(now)
-		share := 1.0
-		switch e {
-		case homes[0]:
-			share = homeShare
-		case homes[1]:
-			share = spareShare
-		case near[0]:
-			share = nearShare
-		}
-		c, cost := s.judge(now, e, w, a, share)
-		if best == nil || cost < lowest {
-			best, found, lowest = e, c, cost
+		c, cost := s.judge(now, e, l.works[i], l, l.share(e, near))
+		if !ok || cost < lowest {
+			found, ok, lowest = c, true, cost
 		}
 	}
-	return found, best != nil
+	return found, ok
 }
 
-// readWeight weighs reading by how far the engines of this region are behind with it.
-func (s *service) readWeight(now clock.Time) float64 {
-	if len(s.local) == 0 {
-		return readWeight
+// share is the part of the shared prompt that counts as missing at an endpoint if this
+// instance does not know it to be there.
+func (l *Plan) share(e, near *endpoint) float64 {
+	switch e {
+	case l.homes[0]:
+		return homeShare
+	case l.homes[1]:
+		return spareShare
+	case near:
+		return nearShare
 	}
-	behind := ident.Tokens(0)
-	for _, e := range s.local {
-		behind += e.work(now).reading
-	}
-	ms := float64(behind) / s.rate / float64(len(s.local))
-	return readWeight * min(maxPressure, 1+ms/pressureSpan)
+	return 1
 }
 
 func (p *Pool) eligible(now clock.Time, e *endpoint, a Ask) bool {
@@ -132,14 +157,8 @@
 	if !p.settled {
 		return false
 	}
-	var owner ident.Entry
-	highest := uint64(0)
-	for _, m := range p.members {
-		if h := xxhash.Sum64String(string(m) + "\x00" + string(e.ID)); owner == "" || h > highest {
-			owner, highest = m, h
-		}
-	}
-	return owner == p.c.Self
+	owner := watch.Watchers(string(e.ID), p.members, 1)
+	return len(owner) == 1 && owner[0] == p.c.Self
 }
 
 // preferred returns the two endpoints that all instances prefer for a prompt's shared
@@ -167,39 +186,26 @@
 	return best
 }
 
-// Home returns the region of the endpoint that is preferred for a prompt's shared parts
-// among all regions, or "" without such parts.
-func (p *Pool) Home(a Ask) ident.Region {
-	s := p.services[a.Service]
-	if s == nil || !a.Engine {
-		return ""
-	}
-	if best := preferred(s.all, a)[0]; best != nil {
-		return best.Region
-	}
-	return ""
-}
-
 // Elsewhere estimates the delay and the cost of a request in another region beyond the
-// waiting there. home says that the region's endpoint is preferred for the prompt.
-func (p *Pool) Elsewhere(now clock.Time, a Ask, home bool) (delay, cost clock.Span) {
-	s := p.service(a.Service)
-	if !a.Engine {
+// waiting there.
+func (p *Pool) Elsewhere(l Plan, region ident.Region) (delay, cost clock.Span) {
+	s := p.service(l.Service)
+	if !l.Engine {
 		return clock.Span(s.first), clock.Span(s.first)
 	}
-	missing := float64(a.Prompt)
-	if home {
-		missing -= float64(sharedTokens(a.Parts)) * (1 - homeShare)
+	missing := float64(l.Prompt)
+	if region == l.Home {
+		missing -= float64(sharedTokens(l.Parts)) * (1 - homeShare)
 	}
 	read := missing / s.rate
-	return clock.Span(s.first + read), clock.Span(s.first + read*s.readWeight(now))
+	return clock.Span(s.first + read), clock.Span(s.first + read*l.weight)
 }
 
 // judge estimates what a request would meet at an endpoint. The cost also counts what the
 // request does to others there. share is the part of the shared prompt that counts as
 // missing if this instance does not know it to be there.
-func (s *service) judge(now clock.Time, e *endpoint, w work, a Ask, share float64) (Choice, float64) {
-	c := Choice{Endpoint: e.ID, Address: e.Address, Cold: e.cold(now)}
+func (s *service) judge(now clock.Time, e *endpoint, w work, a Plan, share float64) (Choice, float64) {
+	c := Choice{Endpoint: e.ID, Address: e.Address}
 	slow := e.paceNow(now) * e.slow(now)
 	wait := s.wait(now, e, w)
 	if !a.Engine {
@@ -261,14 +267,14 @@
 	}
 	took := now.Sub(s.began)
 	e.observe(now, took, max(s.choice.Delay, 1))
-	if s.choice.Wait == 0 && e.paceNow(now) <= 1.2 {
+	if s.choice.Wait == 0 && e.paceNow(now) <= calmPace {
 		v := p.service(s.ask.Service)
 		base := float64(took)
 		if s.ask.Engine {
 			v.learnRate(float64(s.choice.Missing), base)
 			base -= float64(s.choice.Missing) / v.rate
 		}
-		v.first += 0.02 * (min(max(base, 1), 4*v.first) - v.first)
+		v.first += meanWeight * (min(max(base, 1), firstBound*v.first) - v.first)
 	}
 }
 
@@ -298,7 +304,7 @@
 	case Done:
 		e.result(false)
 		v := p.service(s.ask.Service)
-		v.hold += 0.02 * (float64(now.Sub(s.began)-s.choice.Wait) - v.hold)
+		v.hold += meanWeight * (float64(now.Sub(s.began)-s.choice.Wait) - v.hold)
 		v.hold = max(v.hold, 1)
 	case Full:
 		e.fullUntil = now.Add(fullPause)
--- a/pool/doc.go
+++ b/pool/doc.go
@@ -62,9 +62,6 @@
 	Homes []ident.Region
 	// Avoid holds endpoints that have failed this request.
 	Avoid []ident.Endpoint
-
-	// weight weighs reading against waiting.
-	weight float64
 }
 
 // Choice is the endpoint for a request.
@@ -79,7 +76,6 @@
 	Cost clock.Span
 	// Missing is the part of the prompt that the endpoint has to read.
 	Missing ident.Tokens
-	Cold    bool
 }
 
 // Outcome says how a send ended.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -57,7 +57,7 @@
 	rate float64
 }
 
-// Firm defaults of the estimates until requests have been seen.
+// Defaults of the estimates until requests have been seen.
 const (
 	defaultHold  = 300.0 // ms
 	defaultFirst = 60.0  // ms
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -32,6 +32,11 @@
 	return p
 }
 
+// choose plans a request and places it.
+func choose(p *pool.Pool, now clock.Time, a pool.Ask) (pool.Choice, bool) {
+	return p.Choose(now, p.Plan(now, a))
+}
+
 var plain = pool.Ask{Service: "s", Target: 500}
 
 // Guards against requests to an endpoint that must get none: leaving, gone, evacuated, of
@@ -57,7 +62,7 @@
 			p := newPool(info("a"), b)
 			c.change(p)
 			for range 20 {
-				choice, ok := p.Choose(start, c.ask)
+				choice, ok := choose(p, start, c.ask)
 				require.True(t, ok)
 				require.Equal(t, ident.Endpoint("a"), choice.Endpoint)
 			}
@@ -71,12 +76,12 @@
 	leaving.Leaving = true
 	p := newPool(leaving)
 	p.Sync(start, start, []pool.Info{info("a")})
-	_, ok := p.Choose(start, plain)
+	_, ok := choose(p, start, plain)
 	require.False(t, ok)
 	reborn := info("a")
 	reborn.Born = 7
 	p.Sync(start, start, []pool.Info{reborn})
-	_, ok = p.Choose(start, plain)
+	_, ok = choose(p, start, plain)
 	require.True(t, ok)
 }
 
@@ -86,12 +91,12 @@
 	p := newPool(info("a"))
 	back := start.Add(6 * clock.Second)
 	p.Sync(back, back, nil)
-	_, ok := p.Choose(back, plain)
+	_, ok := choose(p, back, plain)
 	require.True(t, ok, "its entry may have lapsed")
 	later := back.Add(2500)
 	p.Sync(later, back.Add(1500), nil)
 	p.Sync(later, later, nil)
-	_, ok = p.Choose(later, plain)
+	_, ok = choose(p, later, plain)
 	require.False(t, ok, "still missing")
 }
 
@@ -99,16 +104,16 @@
 // that it is well and still the same one.
 func TestSuspectNeedsCheck(t *testing.T) {
 	p := newPool(info("a"))
-	c, _ := p.Choose(start, plain)
+	c, _ := choose(p, start, plain)
 	p.End(start, p.Begin(start, plain, c), pool.Broken)
-	_, ok := p.Choose(start, plain)
+	_, ok := choose(p, start, plain)
 	require.False(t, ok)
 	require.Len(t, p.Due(start), 1)
 	p.Checked(start, "a", pool.Check{Healthy: true, Same: false})
-	_, ok = p.Choose(start, plain)
+	_, ok = choose(p, start, plain)
 	require.False(t, ok, "another endpoint has the address")
 	p.Checked(start, "a", pool.Check{Healthy: true, Same: true})
-	_, ok = p.Choose(start, plain)
+	_, ok = choose(p, start, plain)
 	require.True(t, ok)
 }
 
@@ -118,7 +123,7 @@
 	p := newPool(info("a"))
 	p.Evacuate([]ident.Zone{"z1"})
 	p.Evacuate(nil)
-	_, ok := p.Choose(start, plain)
+	_, ok := choose(p, start, plain)
 	require.False(t, ok)
 	require.Len(t, p.Due(start), 1)
 }
@@ -143,7 +148,7 @@
 		sent := 0
 		for at := range clock.Span(1000) {
 			for _, p := range all {
-				if c, ok := p.Choose(start.Add(at), ask); ok {
+				if c, ok := choose(p, start.Add(at), ask); ok {
 					p.Begin(start.Add(at), ask, c)
 					sent++
 				}
@@ -168,8 +173,8 @@
 	a, b := newPool(infos(8)...), newPool(infos(8)...)
 	used := make(map[ident.Endpoint]bool)
 	for i := range 40 {
-		first, _ := a.Choose(start, prompt(uint64(i)))
-		second, _ := b.Choose(start, prompt(uint64(i)))
+		first, _ := choose(a, start, prompt(uint64(i)))
+		second, _ := choose(b, start, prompt(uint64(i)))
 		require.Equal(t, first.Endpoint, second.Endpoint)
 		used[first.Endpoint] = true
 	}
@@ -179,12 +184,12 @@
 // Guards against an endpoint that is preferred for its cache however long its queue is.
 func TestLoadedEndpointYields(t *testing.T) {
 	p := newPool(infos(4)...)
-	first, _ := p.Choose(start, prompt(1))
+	first, _ := choose(p, start, prompt(1))
 	p.Begin(start, prompt(1), first)
 	for range 30 {
 		p.Begin(start, prompt(1), first)
 	}
-	next, _ := p.Choose(start, prompt(1))
+	next, _ := choose(p, start, prompt(1))
 	require.NotEqual(t, first.Endpoint, next.Endpoint)
 }
 
@@ -195,11 +200,11 @@
 	ask := plain
 	ask.Connections = 10
 	for range 4 {
-		c, ok := p.Choose(start, ask)
+		c, ok := choose(p, start, ask)
 		require.True(t, ok)
 		p.Begin(start, ask, c)
 	}
-	_, ok := p.Choose(start, ask)
+	_, ok := choose(p, start, ask)
 	require.False(t, ok)
 }
 
@@ -212,7 +217,7 @@
 		now = now.Add(5 * clock.Second)
 		ask := prompt(uint64(i))
 		ask.Parts = nil
-		c, _ = p.Choose(now, ask)
+		c, _ = choose(p, now, ask)
 		s := p.Begin(now, ask, c)
 		now = now.Add(60 + 1700) // 10 tokens a ms
 		p.First(now, s)
@@ -226,13 +231,13 @@
 	p := newPool(infos(2)...)
 	p.Hear(start, "i2", map[ident.Endpoint]pool.PeerLoad{"e0": {Count: 9}})
 	for range 4 {
-		c, _ := p.Choose(start, plain)
+		c, _ := choose(p, start, plain)
 		require.Equal(t, ident.Endpoint("e1"), c.Endpoint)
 	}
 	later := start.Add(5 * clock.Second)
 	seen := make(map[ident.Endpoint]bool)
 	for range 4 {
-		c, _ := p.Choose(later, plain)
+		c, _ := choose(p, later, plain)
 		seen[c.Endpoint] = true
 	}
 	require.Len(t, seen, 2)
@@ -250,7 +255,7 @@
 			now := start
 			for range 200 {
 				now = now.Add(5)
-				choice, ok := p.Choose(now, plain)
+				choice, ok := choose(p, now, plain)
 				require.True(t, ok)
 				outcome := pool.Done
 				if c.all || choice.Endpoint == "e0" {
@@ -260,7 +265,7 @@
 			}
 			used := false
 			for range 8 {
-				choice, _ := p.Choose(now, plain)
+				choice, _ := choose(p, now, plain)
 				used = used || choice.Endpoint == "e0"
 			}
 			require.Equal(t, c.want, used)
@@ -271,7 +276,7 @@
 // Guards against work that stays booked at an endpoint after it has ended.
 func TestEndedWorkIsGivenBack(t *testing.T) {
 	p := newPool(info("a"))
-	c, _ := p.Choose(start, prompt(1))
+	c, _ := choose(p, start, prompt(1))
 	s := p.Begin(start, prompt(1), c)
 	require.Equal(t, pool.PeerLoad{Count: 1, Reading: 17_000, Holding: 17_100}, p.Work()["a"])
 	p.First(start, s)
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -71,7 +71,7 @@
 // place sends a request and checks that the endpoint may get one.
 func (m *model) place() {
 	ask := prompt(uint64(rapid.IntRange(0, 9).Draw(m.t, "prompt")))
-	c, ok := m.pool.Choose(m.now, ask)
+	c, ok := choose(m.pool, m.now, ask)
 	if !ok {
 		return
 	}
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -32,7 +32,6 @@
 	// keep is the idle time that the endpoint allows.
 	keep time.Duration
 	idle time.Time
-	used bool
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
@@ -81,7 +80,7 @@
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, readBuffer); return &b }}
 
-// send writes a request. It returns a function that waits for the end of the writing.
+// send writes a request. It returns a function that tells whether all of it was written.
 func (c *conn) send(r *Request) (finish func() error, err error) {
 	buffer := buffers.Get().(*[]byte)
 	head := appendHead((*buffer)[:0], r)
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -128,7 +128,6 @@
 	}
 	c.idle = time.Now()
 	c.until = c.idle.Add(c.keep)
-	c.used = true
 	p.idle = append(p.idle, c)
 }
 
@@ -188,9 +187,6 @@
 	}
 }
 
-// Buffered reports whether more of the answer has already arrived.
-func (a *Answer) Buffered() bool { return a.conn.reader.Buffered() > 0 }
-
 // ReadAll returns the complete body. Kinds of error: Broken and TooLarge.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a, limit+1))
--- a/store/doc.go
+++ b/store/doc.go
@@ -15,8 +15,6 @@
 
 // Kinds of errors.
 const (
-	// Missing says that there is no such key.
-	Missing Kind = "missing"
 	// Compacted says that the changes since the given revision are no longer available.
 	Compacted Kind = "compacted"
 	// Limited says that the store refuses calls for now.
--- a/store/follow.go
+++ b/store/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"time"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
@@ -54,7 +53,7 @@
 		switch {
 		case !ok:
 		case f.c.Wait == 0:
-			sleep(ctx, jitter(f.c.Interval))
+			clock.Sleep(ctx, jitter(f.c.Interval))
 		default:
 			f.watch(ctx, snapshot)
 		}
@@ -151,18 +150,9 @@
 	f.failing = true
 	f.c.Failed(err)
 	f.backoff = min(lastBackoff, max(firstBackoff, 2*f.backoff))
-	sleep(ctx, jitter(f.backoff))
+	clock.Sleep(ctx, jitter(f.backoff))
 	return false
 }
 
 // jitter spreads the calls of many instances.
 func jitter(s clock.Span) clock.Span { return s*3/4 + clock.Span(rand.Int64N(int64(s)/2+1)) }
-
-func sleep(ctx context.Context, s clock.Span) {
-	t := time.NewTimer(s.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/watch/fetch.go
+++ b/watch/fetch.go
@@ -138,15 +138,3 @@
 }
 
 func (p *backoff) succeeded() { p.failures = 0 }
-
-// sleep waits for s or until ctx is cancelled, and reports whether s has passed.
-func sleep(ctx context.Context, s clock.Span) bool {
-	timer := time.NewTimer(s.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/watch/list.go
+++ b/watch/list.go
@@ -67,14 +67,14 @@
 		case ctx.Err() != nil:
 		case err == nil:
 			l.backoff.succeeded()
-			sleep(ctx, l.backoff.jitter(l.period()))
+			clock.Sleep(ctx, l.backoff.jitter(l.period()))
 		case fault.KindOf[Kind](err) == KindConfig:
 			return err
 		default:
 			if l.config.Failed != nil {
 				l.config.Failed(err)
 			}
-			sleep(ctx, l.backoff.failed(least))
+			clock.Sleep(ctx, l.backoff.failed(least))
 		}
 	}
 	return ctx.Err()
--- a/watch/values.go
+++ b/watch/values.go
@@ -146,7 +146,7 @@
 // rest waits after a successful call until the next one is due.
 func (v *Values) rest(ctx context.Context, watching bool) {
 	if watching {
-		sleep(ctx, v.backoff.jitter(watchPause))
+		clock.Sleep(ctx, v.backoff.jitter(watchPause))
 		return
 	}
 	v.idle(ctx)
@@ -160,7 +160,7 @@
 		v.idle(ctx)
 		return
 	}
-	sleep(ctx, wait)
+	clock.Sleep(ctx, wait)
 }
 
 // idle waits until the next poll of a reader that does not watch. It ends early
@@ -169,7 +169,7 @@
 	usual := v.backoff.jitter(v.config.Period)
 	pause := min(step, max(v.config.Period/quickShare/2, 1))
 	start := time.Now()
-	for sleep(ctx, pause) {
+	for clock.Sleep(ctx, pause) {
 		silent := v.config.Silent != nil && v.config.Silent()
 		if !silent {
 			v.quick = 0
