feat(pool): expect delays by the rank of the prompts before a request

Cause: an engine reads more urgent prompts first, but the expected delay counted all prompts ahead. Change: the backlog is kept, exchanged and judged by rank; less urgent prompts count for at most 120 ms, more urgent ones stretch the reading. The request line logs the time to the first event and the longest pause.

--- a/gate/events.go
+++ b/gate/events.go
@@ -70,6 +70,13 @@
 }
 
 func (f *flight) write(b []byte) error {
+	now := f.s.clock.Now()
+	if f.written == 0 {
+		f.first = now.Sub(f.arrived)
+	} else {
+		f.pause = max(f.pause, now.Sub(f.written))
+	}
+	f.written = now
 	if _, err := f.writer.Write(b); err != nil {
 		return err
 	}
--- a/gate/flight.go
+++ b/gate/flight.go
@@ -69,6 +69,11 @@
 	avoid  []string
 	// committed says that the head of the answer has gone to the caller.
 	committed bool
+	// first is the time from the arrival to the first event that went to the caller, pause the
+	// longest time between two events, and written when the last one went.
+	first     clock.Span
+	pause     clock.Span
+	written   clock.Time
 	lastEvent string
 	// held is an endpoint's failure that is passed on if no further send does better.
 	held *heldAnswer
@@ -291,5 +296,5 @@
 	f.s.log.Info("request", zap.String("request", f.head.Attempt), zap.String("outcome", outcome), zap.Int("status", status),
 		zap.String("route", f.route.Name), zap.String("to", f.spot), zap.String("last", f.last), zap.Int("sends", f.sends),
 		zap.Bool("hopped", f.hopped), zap.Int("missing", int(f.missing)), zap.Int("prompt", int(f.head.Prompt)), zap.Uint64("version", uint64(f.table.Version)), zap.Int64("total", int64(total)),
-		zap.Int64("left", int64(f.left())))
+		zap.Int64("first", int64(f.first)), zap.Int64("pause", int64(f.pause)), zap.Int64("left", int64(f.left())))
 }
--- a/gate/front.go
+++ b/gate/front.go
@@ -82,7 +82,7 @@
 		arrived: arrived, deadline: arrived.Add(limit), lastEvent: head.LastEvent,
 		ask: pool.Ask{
 			Service: service, Engine: backend.Engine, Memory: backend.Memory, ColdRate: backend.ColdRate, Connections: backend.Connections,
-			Parts: head.Parts, Prompt: head.Prompt, Output: head.Output, Target: route.Target, Homes: route.Homes,
+			Parts: head.Parts, Prompt: head.Prompt, Output: head.Output, Priority: route.Priority, Target: route.Target, Homes: route.Homes,
 		},
 	}
 }
--- a/gate/hop.go
+++ b/gate/hop.go
@@ -65,11 +65,10 @@
 			continue
 		}
 		v := g.Services[i]
-		wait := v.Wait
 		if over := s.hops.recent(now, hopKey{g.Region, f.ask.Service}) - v.Free; over > 0 {
-			wait += clock.Span(over) * f.ask.Target / clock.Span(turnover*v.Slots)
+			v.Wait += clock.Span(over) * f.ask.Target / clock.Span(turnover*v.Slots)
 		}
-		delay, cost := s.pool.Elsewhere(plan, g.Region)
+		wait, delay, cost := s.pool.Elsewhere(plan, g.Region, v)
 		trip := g.Trip
 		if trip == 0 {
 			trip = defaultTrip
@@ -77,7 +76,7 @@
 		trip += hopWork
 		h := hop{
 			region: g.Region, address: hops[f.s.random()%uint64(len(hops))],
-			wait: wait, delay: wait + delay + trip, cost: wait + cost + trip,
+			wait: wait, delay: delay + trip, cost: cost + trip,
 		}
 		if !found || h.cost < best.cost {
 			best, found = h, true
--- a/gate/state.go
+++ b/gate/state.go
@@ -190,7 +190,7 @@
 	}
 	loads := make(map[ident.Endpoint]pool.PeerLoad, len(f.Work))
 	for _, w := range f.Work {
-		loads[w.Endpoint] = pool.PeerLoad{Count: w.Count, Reading: w.Reading, Holding: w.Holding}
+		loads[w.Endpoint] = pool.PeerLoad{Count: w.Count, Reading: pool.Expand(w.Reading), Holding: w.Holding}
 	}
 	s.pool.Hear(now, from.Name, loads)
 }
@@ -202,7 +202,7 @@
 	now := s.clock.Now()
 	f := mesh.Facts{Work: []mesh.Work{}, Services: s.pool.Summaries(now), Accusations: s.suspects.Accusations(now)}
 	for id, l := range s.pool.Work() {
-		f.Work = append(f.Work, mesh.Work{Endpoint: id, Count: l.Count, Reading: l.Reading, Holding: l.Holding})
+		f.Work = append(f.Work, mesh.Work{Endpoint: id, Count: l.Count, Reading: l.Reading.Compact(), Holding: l.Holding})
 	}
 	return f
 }
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -86,8 +86,9 @@
 type Work struct {
 	Endpoint ident.Endpoint
 	Count    int
-	Reading  ident.Tokens
-	Holding  ident.Tokens
+	// Reading holds the prompt tokens still to be read, by rank.
+	Reading []ident.Tokens
+	Holding ident.Tokens
 }
 
 const (
--- a/mesh/table_bench_test.go
+++ b/mesh/table_bench_test.go
@@ -19,10 +19,10 @@
 			w := newNet(n, 4)
 			w.round(10)
 			for i := range min(n, 64) {
-				w.facts.Work = append(w.facts.Work, mesh.Work{Endpoint: ident.Endpoint(fmt.Sprint("i-", i, "0123456")), Count: 3, Reading: 900, Holding: 9000})
+				w.facts.Work = append(w.facts.Work, mesh.Work{Endpoint: ident.Endpoint(fmt.Sprint("i-", i, "0123456")), Count: 3, Reading: []ident.Tokens{300, 600}, Holding: 9000})
 			}
 			for i := range 26 {
-				w.facts.Services = append(w.facts.Services, pool.Summary{Service: ident.Service(fmt.Sprint("service", i)), Free: 10, Slots: 100, Wait: 12})
+				w.facts.Services = append(w.facts.Services, pool.Summary{Service: ident.Service(fmt.Sprint("service", i)), Free: 10, Slots: 100, Wait: 12, Reading: []ident.Tokens{300, 600}})
 			}
 			table, bytes := w.tables["m2"], 0
 			b.ReportAllocs()
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -162,8 +162,8 @@
 		From:  mesh.Record{Name: "a", Incarnation: 7, Counter: 9, State: mesh.Leaving, Region: "r", Zone: "z", Mesh: "m", Front: "f", Hop: "h"},
 		Heard: true, Reply: true, Records: []mesh.Record{{Name: "b"}},
 		Facts: mesh.Facts{
-			Work:        []mesh.Work{{Endpoint: "e", Count: 1, Reading: 2, Holding: 3}},
-			Services:    []pool.Summary{{Service: "s", Free: 1, Slots: 2, Wait: 3}},
+			Work:        []mesh.Work{{Endpoint: "e", Count: 1, Reading: []ident.Tokens{2}, Holding: 3}},
+			Services:    []pool.Summary{{Service: "s", Free: 1, Slots: 2, Wait: 3, Reading: []ident.Tokens{4}}},
 			Accusations: []news.Accusation{{Fingerprint: 5, Refused: true, Rest: 6, Regions: []ident.Region{"r"}}},
 		},
 	}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -88,7 +88,7 @@
 	behind := ident.Tokens(0)
 	for i, e := range s.local {
 		l.works[i] = e.work(now)
-		behind += l.works[i].reading
+		behind += l.works[i].reading.total()
 	}
 	if len(s.local) > 0 {
 		ms := float64(behind) / s.rate / float64(len(s.local))
@@ -186,19 +186,21 @@
 	return best
 }
 
-// Elsewhere estimates the delay and the cost of a request in another region beyond the
-// waiting there.
-func (p *Pool) Elsewhere(l Plan, region ident.Region) (delay, cost clock.Span) {
+// Elsewhere estimates the wait, the delay and the cost of a request in another region by
+// what that tells of itself. The delay and the cost contain the wait.
+func (p *Pool) Elsewhere(l Plan, region ident.Region, sum Summary) (wait, delay, cost clock.Span) {
 	s := p.service(l.Service)
 	if !l.Engine {
-		return clock.Span(s.first), clock.Span(s.first)
+		return sum.Wait, sum.Wait + clock.Span(s.first), sum.Wait + clock.Span(s.first)
 	}
+	ahead, stretch := Expand(sum.Reading).delay(rank(l.Priority), s.rate)
+	wait = sum.Wait + clock.Span(ahead)
 	missing := float64(l.Prompt)
 	if region == l.Home {
 		missing -= float64(sharedTokens(l.Parts)) * (1 - homeShare)
 	}
 	read := missing / s.rate
-	return clock.Span(s.first + read), clock.Span(s.first + read*l.weight)
+	return wait, wait + clock.Span(s.first+read*stretch), wait + clock.Span(s.first+read*l.weight)
 }
 
 // judge estimates what a request would meet at an endpoint. The cost also counts what the
@@ -219,8 +221,8 @@
 	if limit := float64(a.Memory) * memoryShare; limit > 0 && float64(need) > limit {
 		wait += s.hold * (float64(need)/limit - 1 + memoryPenalty)
 	}
-	ahead := float64(w.reading) / s.rate
-	delay := wait + (ahead+missing/s.rate+s.first)*slow
+	ahead, stretch := w.reading.delay(rank(a.Priority), s.rate)
+	delay := wait + (ahead+missing/s.rate*stretch+s.first)*slow
 	cost := wait + (ahead+s.first)*slow + missing/s.rate*a.weight*slow + float64(w.count)*companyCost
 	c.Wait, c.Delay, c.Cost = clock.Span(wait+ahead*slow), clock.Span(delay), clock.Span(cost)
 	return c, cost
@@ -245,7 +247,7 @@
 	s := &Send{endpoint: e, ask: a, choice: c, began: now}
 	e.sends[s] = struct{}{}
 	if a.Engine {
-		e.reading += c.Missing
+		e.reading[rank(a.Priority)] += c.Missing
 		e.holding += c.Missing + a.Output
 		e.cache.use(a.Parts, a.Memory)
 	}
@@ -263,7 +265,7 @@
 	s.answered = true
 	e := s.endpoint
 	if s.ask.Engine {
-		e.reading -= s.choice.Missing
+		e.reading[rank(s.ask.Priority)] -= s.choice.Missing
 	}
 	took := now.Sub(s.began)
 	e.observe(now, took, max(s.choice.Delay, 1))
@@ -296,7 +298,7 @@
 	delete(e.sends, s)
 	if s.ask.Engine {
 		if !s.answered {
-			e.reading -= s.choice.Missing
+			e.reading[rank(s.ask.Priority)] -= s.choice.Missing
 		}
 		e.holding -= s.choice.Missing + s.ask.Output
 	}
--- a/pool/doc.go
+++ b/pool/doc.go
@@ -56,6 +56,8 @@
 	// Prompt is the whole prompt, Output the most tokens of the answer.
 	Prompt ident.Tokens
 	Output ident.Tokens
+	// Priority is the rank of the request; 0 is the most urgent.
+	Priority int
 	// Target is the time until the first byte within which the answer earns most.
 	Target clock.Span
 	// Homes are the regions that may serve the request; none means all.
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -43,8 +43,8 @@
 	ejections    int
 
 	sends map[*Send]struct{}
-	// reading is the number of prompt tokens of this instance's sends without a first byte.
-	reading ident.Tokens
+	// reading holds the prompt tokens of this instance's sends without a first byte.
+	reading Backlog
 	// holding is the number of tokens in memory for this instance's sends.
 	holding ident.Tokens
 	peers   map[ident.Entry]PeerLoad
@@ -65,7 +65,7 @@
 // PeerLoad is the work of another instance on an endpoint.
 type PeerLoad struct {
 	Count   int
-	Reading ident.Tokens
+	Reading Backlog
 	Holding ident.Tokens
 	At      clock.Time
 }
@@ -88,7 +88,7 @@
 // work is the load of an endpoint by all instances that tell of theirs.
 type work struct {
 	count   int
-	reading ident.Tokens
+	reading Backlog
 	holding ident.Tokens
 }
 
@@ -100,7 +100,7 @@
 			continue
 		}
 		w.count += p.Count
-		w.reading += p.Reading
+		w.reading.add(p.Reading)
 		w.holding += p.Holding
 	}
 	return w
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -284,16 +284,18 @@
 	// Free is the number of free slots, Slots the number of all.
 	Free  int
 	Slots int
-	// Wait is the expected wait of a new request at the best endpoint, with the mean time
-	// until the prompts before it are read.
+	// Wait is the expected wait of a new request for a slot at the best endpoint.
 	Wait clock.Span
+	// Reading is the mean backlog of an engine, by rank.
+	Reading []ident.Tokens
 }
 
 // Summaries returns what this region can do, by service.
 func (p *Pool) Summaries(now clock.Time) (all []Summary) {
 	for name, s := range p.services {
 		sum := Summary{Service: name, Wait: -1}
-		reading, usable := ident.Tokens(0), 0
+		var reading Backlog
+		usable := ident.Tokens(0)
 		for _, e := range s.local {
 			if !e.usable(now) || p.evacuated[e.Zone] || e.cold(now) {
 				continue
@@ -301,7 +303,7 @@
 			w := e.work(now)
 			sum.Slots += e.Slots
 			sum.Free += max(0, e.Slots-w.count)
-			reading += w.reading
+			reading.add(w.reading)
 			usable++
 			wait := clock.Span(s.wait(now, e, w))
 			if sum.Wait < 0 || wait < sum.Wait {
@@ -309,7 +311,10 @@
 			}
 		}
 		if sum.Slots > 0 {
-			sum.Wait += clock.Span(float64(reading) / float64(usable) / s.rate)
+			for i := range reading {
+				reading[i] /= usable
+			}
+			sum.Reading = reading.Compact()
 			all = append(all, sum)
 		}
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -278,10 +278,44 @@
 	p := newPool(info("a"))
 	c, _ := choose(p, start, prompt(1))
 	s := p.Begin(start, prompt(1), c)
-	require.Equal(t, pool.PeerLoad{Count: 1, Reading: 17_000, Holding: 17_100}, p.Work()["a"])
+	require.Equal(t, pool.PeerLoad{Count: 1, Reading: pool.Backlog{17_000}, Holding: 17_100}, p.Work()["a"])
 	p.First(start, s)
 	require.Equal(t, pool.PeerLoad{Count: 1, Holding: 17_100}, p.Work()["a"])
 	p.End(start, s, pool.Done)
 	p.End(start, s, pool.Done)
 	require.Empty(t, p.Work())
 }
+
+// Guards against an urgent request that is refused or sent elsewhere because of prompts that
+// the engine reads after its own, and against one that forgets the prompts before its own.
+func TestUrgentPromptsAreReadFirst(t *testing.T) {
+	p := newPool(info("a"))
+	long := prompt(1)
+	long.Priority = 1
+	c, _ := choose(p, start, long)
+	for range 3 {
+		p.Begin(start, long, c)
+	}
+	short := pool.Ask{Service: "s", Engine: true, Prompt: 300, Output: 50, Target: 600}
+	urgent, _ := choose(p, start, short)
+	short.Priority = 1
+	equal, _ := choose(p, start, short)
+	require.Less(t, urgent.Delay, clock.Span(300))
+	require.Greater(t, equal.Delay, clock.Span(1200))
+}
+
+// Guards against a long prompt that is expected in time although more urgent ones keep
+// being read before it.
+func TestUrgentPromptsHoldUpOthers(t *testing.T) {
+	p := newPool(info("a"))
+	long := prompt(1)
+	long.Priority = 1
+	idle, _ := choose(p, start, long)
+	urgent := pool.Ask{Service: "s", Engine: true, Prompt: 1000, Output: 50}
+	for range 12 {
+		c, _ := choose(p, start, urgent)
+		p.Begin(start, urgent, c)
+	}
+	busy, _ := choose(p, start, long)
+	require.Greater(t, busy.Delay-idle.Delay, clock.Span(500), "more than the 300 ms that wait already")
+}
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -124,7 +125,7 @@
 				m.end()
 			}
 			for id, w := range m.pool.Work() {
-				if w.Count <= 0 || w.Reading < 0 || w.Holding < 0 {
+				if w.Count <= 0 || slices.Min(w.Reading[:]) < 0 || w.Holding < 0 {
 					t.Fatalf("work of %s: %+v", id, w)
 				}
 			}
