fix(gate): count a request that is passed on once in the retry budget

Cause: the instance that a request was passed on to recorded its first send as a new request, so that the budget grew with the retries; and a restarted instance used its part of the slack a second time within one window. Change: the sender alone counts; the slack counts from a window's length after the start, but at the first start of the whole system.

--- a/budget/window.go
+++ b/budget/window.go
@@ -16,6 +16,9 @@
 	// Margin is the part of both that is used. The rest covers the time that sends take and
 	// instances that are not known.
 	Margin float64
+	// Begun is when the process began, 0 if no earlier process of the instance can have used
+	// up its part of the slack. The slack counts from a window's length after that.
+	Begun clock.Time
 }
 
 // Window is a retry budget over a sliding window that instances share without talking to
@@ -40,7 +43,11 @@
 // use the slack.
 func (w *Window) Take(now clock.Time, instances int) bool {
 	w.turn(now)
-	allowed := w.c.Margin * (w.c.Ratio*sum(w.firsts) + w.c.Slack/float64(max(1, instances)))
+	slack := w.c.Slack / float64(max(1, instances))
+	if w.c.Begun > 0 && now.Sub(w.c.Begun) < w.c.Span {
+		slack = 0
+	}
+	allowed := w.c.Margin * (w.c.Ratio*sum(w.firsts) + slack)
 	if sum(w.retries)+1 > allowed {
 		return false
 	}
--- a/budget/window_test.go
+++ b/budget/window_test.go
@@ -28,6 +28,22 @@
 	require.True(t, w.Take(now.Add(12*clock.Second), 4), "the window has passed")
 }
 
+// Guards against an instance that is restarted and uses its part of the slack a second time
+// within one window.
+func TestRestartedWindowHasNoSlack(t *testing.T) {
+	begun := clock.Time(100_000)
+	w := budget.NewWindow(budget.WindowConfig{Span: 10 * clock.Second, Ratio: 0.2, Slack: 20, Margin: 1, Begun: begun})
+	require.False(t, w.Take(begun.Add(9*clock.Second), 1))
+	for range 10 {
+		w.First(begun.Add(9 * clock.Second))
+	}
+	require.True(t, w.Take(begun.Add(9*clock.Second), 1), "the ratio holds from the start")
+	require.True(t, w.Take(begun.Add(10*clock.Second), 1))
+	for range 18 {
+		require.True(t, w.Take(begun.Add(10*clock.Second), 1))
+	}
+}
+
 // Guards against a sum over instances that exceeds the bound of all of them in any window.
 func TestWindowsOfAllInstancesStayBelowTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -61,6 +61,9 @@
 	// Grace is the time between the signal to stop and the kill.
 	Grace clock.Span
 	Retry RetryBounds
+	// FirstStart says that the whole system starts for the first time: no earlier process has
+	// used up what the instances share.
+	FirstStart bool
 	// Validity is the longest time that callers use an answer of the directory.
 	Validity clock.Span
 	// Store is the address of the key-value store.
--- a/gate/flight.go
+++ b/gate/flight.go
@@ -204,8 +204,12 @@
 	return best, true
 }
 
-// paid counts the arrival and tells whether the retry budget allows it.
+// paid counts the arrival and tells whether the retry budget allows it. The first send of a
+// request that was passed on has been counted by the instance that passed it on.
 func (f *flight) paid() bool {
+	if f.sends == 0 && f.hopped {
+		return true
+	}
 	if f.sends == 0 {
 		f.s.state.first(f.ask.Service)
 		return true
--- a/gate/server.go
+++ b/gate/server.go
@@ -94,7 +94,7 @@
 		go func() { _ = s.servers[i].Serve(l) }()
 	}
 	s.log.Info("started", zap.String("front", s.settings.Front), zap.String("region", string(s.settings.Region)),
-		zap.String("zone", string(s.settings.Zone)), zap.Strings("seeds", s.settings.Seeds))
+		zap.String("zone", string(s.settings.Zone)), zap.Strings("seeds", s.settings.Seeds), zap.Bool("first", s.settings.FirstStart))
 	return s, nil
 }
 
--- a/gate/state.go
+++ b/gate/state.go
@@ -30,6 +30,8 @@
 	log      *zap.Logger
 	source   Source
 	metrics  *metrics
+	// begun is when the process began, 0 at the first start of the whole system.
+	begun clock.Time
 
 	table  atomic.Pointer[bundle.Table]
 	listed atomic.Bool
@@ -54,12 +56,16 @@
 }
 
 func newState(c Config, m *metrics) *state {
-	return &state{
+	s := &state{
 		settings: c.Settings, clock: c.Clock, log: c.Log, source: c.Source, metrics: m,
 		pool: pool.New(pool.Config{Self: c.Settings.Name, Region: c.Settings.Region, Seed: c.Seed}),
 		read: c.Clock.Now(), journal: newJournal(), retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
 		hops: make(hopLoad), suspects: crash.New(crash.Config{Term: suspectTerm}), lost: make(map[ident.Endpoint][]crash.Mark),
 	}
+	if !c.Settings.FirstStart {
+		s.begun = c.Clock.Now()
+	}
+	return s
 }
 
 // ownList takes a list that this instance has read itself.
@@ -231,7 +237,7 @@
 	w := s.retries[service]
 	if w == nil {
 		w = budget.NewWindow(budget.WindowConfig{
-			Span: s.settings.Retry.Window, Ratio: s.settings.Retry.Ratio, Slack: s.settings.Retry.Slack, Margin: retryMargin,
+			Span: s.settings.Retry.Window, Ratio: s.settings.Retry.Ratio, Slack: s.settings.Retry.Slack, Margin: retryMargin, Begun: s.begun,
 		})
 		s.retries[service] = w
 	}
