fix(gate): listen until no caller comes when an instance leaves

Change: after the 2 s the instance serves on until no caller has come for 300 ms, after a further eighth of the grace time it refuses with 503, for at most another eighth.

--- a/gate/drain.go
+++ b/gate/drain.go
@@ -20,6 +20,14 @@
 	// the directory for up to three times its validity, but those of the region must not be
 	// without an instance for long.
 	linger = 2 * clock.Second
+	// quietSpan is how long after that no caller must have come before the instance stops to
+	// listen: a connection that is still being opened from another region would be reset.
+	quietSpan = 300 * clock.Millisecond
+	// quietPart is the part of the time to stop, as a divisor, for which quiet is awaited while
+	// callers are served, and once more while they are refused.
+	quietPart = 8
+	// quietStep is the pause between two looks.
+	quietStep = 50 * clock.Millisecond
 	// lastMoment is how long before the kill what is still in progress is cut off.
 	lastMoment = 300 * clock.Millisecond
 )
@@ -36,6 +44,10 @@
 	s.log.Info("draining", zap.Int64("active", s.metrics.active.Count()), zap.Int64("grace", int64(grace)))
 	s.announce(mesh.Leaving)
 	clock.Sleep(ctx, min(linger, grace/2))
+	if !s.awaitQuiet(ctx, grace/quietPart) {
+		s.refusing.Store(true)
+		s.awaitQuiet(ctx, grace/quietPart)
+	}
 	ctx, cancel := context.WithTimeout(ctx, max(0, end.Sub(s.clock.Now())).Duration())
 	defer cancel()
 	var group sync.WaitGroup
@@ -51,6 +63,19 @@
 	s.log.Info("stopped")
 }
 
+// awaitQuiet waits until no caller has come for quietSpan, for at most the given time, and
+// tells whether it was quiet.
+func (s *Server) awaitQuiet(ctx context.Context, most clock.Span) bool {
+	began := s.clock.Now()
+	for now := began; now.Sub(began) < most; now = s.clock.Now() {
+		if now.Sub(max(began, clock.Time(s.came.Load()))) >= quietSpan {
+			return true
+		}
+		clock.Sleep(ctx, quietStep)
+	}
+	return false
+}
+
 // announce tells the other instances of this one's state.
 func (s *Server) announce(state mesh.State) {
 	if s.node.State() != state {
@@ -78,6 +103,9 @@
 }
 
 func (i *idleConns) changed(c net.Conn, state http.ConnState) {
+	if state == http.StateNew || state == http.StateActive {
+		i.s.came.Store(int64(i.s.clock.Now()))
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if t := i.timers[c]; t != nil {
--- a/gate/front.go
+++ b/gate/front.go
@@ -26,7 +26,8 @@
 	crowdedAfter = 500 * clock.Millisecond
 )
 
-// unreadyAfter is when a caller is asked to come back to an instance that has no table yet.
+// unreadyAfter is when a caller is asked to come back after an instance without a table or
+// one that leaves has refused its request.
 const unreadyAfter = 300 * clock.Millisecond
 
 // front serves callers.
@@ -42,9 +43,12 @@
 	defer s.metrics.active.Dec(1)
 	arrived := s.clock.Now()
 	table := s.state.table.Load()
-	if table == nil || !s.state.ready() {
-		s.dialect.Later(w.Header(), unreadyAfter)
-		respond(w, http.StatusServiceUnavailable, caller.RanNo, caller.ReasonUnready, "no configuration yet", "")
+	switch {
+	case table == nil || !s.state.ready():
+		s.unready(w, r, "no configuration yet")
+		return
+	case s.refusing.Load():
+		s.unready(w, r, "leaving")
 		return
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -66,6 +70,16 @@
 	f.run(ctx)
 }
 
+// unready refuses a request that this instance can't take now.
+func (s *Server) unready(w http.ResponseWriter, r *http.Request, reason string) {
+	attempt := s.dialect.Head(r.Header).Attempt
+	s.dialect.Later(w.Header(), unreadyAfter)
+	s.closing(w.Header())
+	respond(w, http.StatusServiceUnavailable, caller.RanNo, caller.ReasonUnready, reason, attempt)
+	s.log.Info("request", zap.String("request", attempt), zap.String("outcome", "refused"),
+		zap.Int("status", http.StatusServiceUnavailable), zap.String("last", reason))
+}
+
 func (s *Server) newFlight(w http.ResponseWriter, r *http.Request, t *bundle.Table, route *bundle.Route, arrived clock.Time) *flight {
 	head := s.dialect.Head(r.Header)
 	header := forwarded(r.Header)
--- a/gate/server.go
+++ b/gate/server.go
@@ -56,6 +56,10 @@
 	state    *state
 	node     *mesh.Node
 	draining atomic.Bool
+	// refusing says that a leaving instance takes no further requests.
+	refusing atomic.Bool
+	// came is when a caller last opened a connection or sent a request, as a clock.Time.
+	came atomic.Int64
 	// bodies is the memory that requests' bodies take, in bytes.
 	bodies atomic.Int64
 
