fix(gate): take part at once after a restart and while others restart

Change: readiness is announced as soon as both readings are there, an unready instance asks others from 200 ms on, and leaving instances are named for hops where no ready one is.

--- a/gate/server.go
+++ b/gate/server.go
@@ -42,6 +42,10 @@
 	controlInterval = 6 * clock.Second
 	// checkPause is the pause between two looks for endpoints to check.
 	checkPause = 50 * clock.Millisecond
+	// beginPause is the pause between two looks whether a new instance can serve, and storeChance
+	// how long the store has to answer before other instances are asked.
+	beginPause  = 20 * clock.Millisecond
+	storeChance = 200 * clock.Millisecond
 	// maintainPause is the pause between two rounds of maintenance.
 	maintainPause = time.Second
 )
@@ -205,7 +209,25 @@
 	s.tasks.Go(func() { control.Run(ctx) })
 	s.tasks.Go(func() { every(ctx, checkPause.Duration(), s.check) })
 	s.tasks.Go(func() { every(ctx, maintainPause, s.maintain) })
-	s.tasks.Go(func() { every(ctx, viewPause.Duration(), s.learn) })
+	s.tasks.Go(func() {
+		s.begin(ctx)
+		every(ctx, viewPause.Duration(), s.learn)
+	})
+}
+
+// begin waits until the instance can serve and tells the others at once. It asks them for
+// what they know if the store does not answer.
+func (s *Server) begin(ctx context.Context) {
+	ask := s.clock.Now().Add(storeChance)
+	for ctx.Err() == nil && !s.state.ready() {
+		if !s.clock.Now().Before(ask) {
+			s.askView(ctx)
+		}
+		clock.Sleep(ctx, beginPause)
+	}
+	if ctx.Err() == nil && !s.draining.Load() {
+		s.announce(mesh.Ready)
+	}
 }
 
 func orDefault(bound clock.Span) clock.Span {
@@ -229,14 +251,10 @@
 	}
 }
 
-// maintain closes idle connections, passes on who may use cold endpoints and tells the
-// others when the instance has become ready.
+// maintain closes idle connections and passes on who may use cold endpoints.
 func (s *Server) maintain(context.Context) {
 	names, settled := s.node.Neighbours()
 	s.state.locked(func(p *pool.Pool, _ clock.Time) { p.Members(names, settled) })
-	if s.state.ready() && !s.draining.Load() {
-		s.announce(mesh.Ready)
-	}
 	now := time.Now()
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
--- a/gate/share.go
+++ b/gate/share.go
@@ -57,9 +57,13 @@
 
 // learn asks another instance for what it has read while the store does not answer here.
 func (s *Server) learn(ctx context.Context) {
-	if s.clock.Now().Sub(s.state.lastRead()) < viewAfter {
-		return
+	if s.clock.Now().Sub(s.state.lastRead()) >= viewAfter {
+		s.askView(ctx)
 	}
+}
+
+// askView takes what another instance has read from the store if that is newer.
+func (s *Server) askView(ctx context.Context) {
 	alive := s.node.Alive()
 	if len(alive) == 0 {
 		return
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -61,8 +61,8 @@
 	t.seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == t.self.Mesh })
 }
 
-// SetState changes what this instance says of itself.
-func (t *Table) SetState(s State) { t.self.State = s }
+// SetState changes what this instance says of itself. It never goes back to an earlier state.
+func (t *Table) SetState(s State) { t.self.State = max(t.self.State, s) }
 
 // Self returns this instance's record.
 func (t *Table) Self() Record { return t.self }
@@ -315,7 +315,8 @@
 // Region is what is known of another region.
 type Region struct {
 	Region ident.Region
-	// Hops are the addresses of instances that hear this one and are heard by it.
+	// Hops are the addresses of instances that hear this one and are heard by it: those that
+	// are ready or, if there are none, those that are leaving and still serve for a moment.
 	Hops     []string
 	Services []pool.Summary
 	// Trip is the least time of a round trip to any of them; 0 if unknown.
@@ -326,8 +327,9 @@
 func (t *Table) Regions(now clock.Time) (regions []Region) {
 	byName := make(map[ident.Region]*Region)
 	newest := make(map[ident.Region]clock.Time)
+	leaving := make(map[ident.Region][]string)
 	for _, p := range t.peers {
-		if p.Region == t.self.Region || p.State != Ready || !p.mutual || now.Sub(p.direct) >= t.span(p) || !t.heardOf(now, p.Region) {
+		if p.Region == t.self.Region || p.State == Starting || !p.mutual || now.Sub(p.direct) >= t.span(p) || !t.heardOf(now, p.Region) {
 			continue
 		}
 		r := byName[p.Region]
@@ -335,7 +337,11 @@
 			r = &Region{Region: p.Region}
 			byName[p.Region] = r
 		}
-		r.Hops = append(r.Hops, p.Hop)
+		if p.State == Ready {
+			r.Hops = append(r.Hops, p.Hop)
+		} else {
+			leaving[p.Region] = append(leaving[p.Region], p.Hop)
+		}
 		if p.trip > 0 && (r.Trip == 0 || p.trip < r.Trip) {
 			r.Trip = p.trip
 		}
@@ -344,6 +350,9 @@
 		}
 	}
 	for _, r := range byName {
+		if len(r.Hops) == 0 {
+			r.Hops = leaving[r.Region]
+		}
 		slices.Sort(r.Hops)
 		regions = append(regions, *r)
 	}
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -206,3 +206,23 @@
 	require.Equal(t, "new", table.Alive(1000)[0].Front)
 	require.NotEqual(t, mesh.Leaving, table.Self().State)
 }
+
+// Guards against a region that counts as unreachable while its only instance is replaced,
+// although that still serves.
+func TestLeavingInstancesAreTheLastResort(t *testing.T) {
+	w := newNet(4, 2)
+	w.round(10)
+	leave := func(name string) {
+		w.tables[name].SetState(mesh.Leaving)
+		w.deliver(name, w.tables[name].Farewell(w.now))
+		w.round(1)
+	}
+	hops := func() []string { return w.tables["m0"].Regions(w.now)[0].Hops }
+	leave("m1")
+	require.Equal(t, []string{"hm3"}, hops())
+	leave("m3")
+	require.Equal(t, []string{"hm1", "hm3"}, hops())
+	w.drop = func(from, _ string) bool { return from == "m1" || from == "m3" }
+	w.round(20)
+	require.Empty(t, w.tables["m0"].Regions(w.now))
+}
