fix(gate): leave out instances that can't be connected to

Change: a leaving instance tells when it stops to listen, and one that can't be connected to gets no requests for 500 ms.

--- a/gate/drain.go
+++ b/gate/drain.go
@@ -48,6 +48,7 @@
 		s.refusing.Store(true)
 		s.awaitQuiet(ctx, grace/quietPart)
 	}
+	s.announce(mesh.Closed)
 	ctx, cancel := context.WithTimeout(ctx, max(0, end.Sub(s.clock.Now())).Duration())
 	defer cancel()
 	var group sync.WaitGroup
--- a/gate/hop.go
+++ b/gate/hop.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
@@ -19,6 +20,8 @@
 	hopLife = 400 * clock.Millisecond
 	// turnover is how many requests a slot is taken to serve within a target.
 	turnover = 4
+	// hopPause is how long an instance that could not be connected to gets no requests.
+	hopPause = 500 * clock.Millisecond
 	// headerHop marks a request that another instance passes on. Such a request goes to an
 	// endpoint of this region or nowhere, so that it can't travel in a loop.
 	headerHop = "Tanager-Hop"
@@ -59,7 +62,9 @@
 		if !f.route.Allows(g.Region) {
 			continue
 		}
-		hops := slices.DeleteFunc(slices.Clone(g.Hops), func(h string) bool { return slices.Contains(f.avoid, h) })
+		hops := slices.DeleteFunc(slices.Clone(g.Hops), func(h string) bool {
+			return slices.Contains(f.avoid, h) || now.Before(s.hopsDown[h])
+		})
 		i := slices.IndexFunc(g.Services, func(v pool.Summary) bool { return v.Service == f.ask.Service })
 		if len(hops) == 0 || i < 0 {
 			continue
@@ -85,6 +90,15 @@
 	return best, found
 }
 
+// hopDown records that an instance could not be connected to.
+func (s *state) hopDown(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	maps.DeleteFunc(s.hopsDown, func(_ string, until clock.Time) bool { return now.After(until) })
+	s.hopsDown[address] = now.Add(hopPause)
+}
+
 // hopped records that a request is passed to a region.
 func (s *state) hopped(now clock.Time, region ident.Region, service ident.Service) {
 	s.mu.Lock()
--- a/gate/state.go
+++ b/gate/state.go
@@ -41,6 +41,8 @@
 	retries map[ident.Service]*budget.Window
 	relays  map[string]*relay.Pool
 	hops    hopLoad
+	// hopsDown is until when instances that could not be connected to get no requests.
+	hopsDown map[string]clock.Time
 	// suspects are requests that may crash the endpoints that run them, and lost holds those
 	// whose connection broke, by endpoint, until it is known whether it crashed.
 	suspects *crash.Suspects
@@ -60,7 +62,7 @@
 		settings: c.Settings, clock: c.Clock, log: c.Log, source: c.Source, metrics: m,
 		pool: pool.New(pool.Config{Self: c.Settings.Name, Region: c.Settings.Region, Seed: c.Seed}),
 		read: c.Clock.Now(), journal: newJournal(), retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
-		hops: make(hopLoad), suspects: crash.New(crash.Config{Term: suspectTerm}), lost: make(map[ident.Endpoint][]crash.Mark),
+		hops: make(hopLoad), hopsDown: make(map[string]clock.Time), suspects: crash.New(crash.Config{Term: suspectTerm}), lost: make(map[ident.Endpoint][]crash.Mark),
 	}
 	if !c.Settings.FirstStart {
 		s.begun = c.Clock.Now()
--- a/gate/try.go
+++ b/gate/try.go
@@ -110,6 +110,9 @@
 		t.end(pool.Late)
 	case unsent:
 		t.end(pool.Unreachable)
+		if t.place.hop != nil {
+			f.s.state.hopDown(t.place.hop.address)
+		}
 		return again
 	default:
 		t.end(pool.Broken)
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -35,8 +35,10 @@
 	Starting State = iota
 	// Ready says that the instance takes work.
 	Ready
-	// Leaving says that the instance takes no new work.
+	// Leaving says that the instance is to be named to nobody; it serves for a moment.
 	Leaving
+	// Closed says that the instance takes no requests and finishes those in progress.
+	Closed
 )
 
 // Record describes one instance.
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -286,7 +286,7 @@
 // address within seconds.
 func (t *Table) Stopping(now clock.Time) (found []Record) {
 	for _, p := range t.peers {
-		if p.State == Leaving && now.Sub(p.news) < replaceSpan {
+		if p.State >= Leaving && now.Sub(p.news) < replaceSpan {
 			found = append(found, p.Record)
 		}
 	}
@@ -329,7 +329,7 @@
 	newest := make(map[ident.Region]clock.Time)
 	leaving := make(map[ident.Region][]string)
 	for _, p := range t.peers {
-		if p.Region == t.self.Region || p.State == Starting || !p.mutual || now.Sub(p.direct) >= t.span(p) || !t.heardOf(now, p.Region) {
+		if p.Region == t.self.Region || p.State == Starting || p.State == Closed || !p.mutual || now.Sub(p.direct) >= t.span(p) || !t.heardOf(now, p.Region) {
 			continue
 		}
 		r := byName[p.Region]
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -222,6 +222,9 @@
 	require.Equal(t, []string{"hm3"}, hops())
 	leave("m3")
 	require.Equal(t, []string{"hm1", "hm3"}, hops())
+	w.tables["m1"].SetState(mesh.Closed)
+	w.round(3)
+	require.Equal(t, []string{"hm3"}, hops())
 	w.drop = func(from, _ string) bool { return from == "m1" || from == "m3" }
 	w.round(20)
 	require.Empty(t, w.tables["m0"].Regions(w.now))
