perf(pool): count the pauses that the reading of a prompt causes

Cause: half of the late streams were late by a pause: while an engine reads a long prompt, each step of its other streams takes as long as a chunk. Places were compared by the time to the first byte alone, with 2 ms for each request there. Change: a fifth of the time that a prompt takes to read counts for each request on the engine, and 0.3 of the time of the prompts ahead for the pauses of the new stream.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -28,6 +28,12 @@
 	maxPressure  = 4.0
 	// companyCost is by how many ms each request on an engine slows a new one, for comparing endpoints.
 	companyCost = 2.0
+	// companyShare is the part of the time that the reading of a prompt takes which counts for
+	// each other request on the engine: their streams pause meanwhile.
+	companyShare = 0.2
+	// backlogShare is the part of the time that the prompts ahead take to read which counts as
+	// pauses of the new request's own stream.
+	backlogShare = 0.3
 	// homeShare and spareShare are the parts of the shared prompt that count as missing at the
 	// endpoints that all instances prefer for it, first and second; nearShare is the part at
 	// the one that is preferred in this region.
@@ -223,7 +229,9 @@
 	}
 	ahead, stretch := w.reading.delay(rank(a.Priority), s.rate)
 	delay := wait + (ahead+missing/s.rate*stretch+s.first)*pace
-	cost := wait + (ahead+s.first)*pace + missing/s.rate*a.weight*pace + float64(w.count)*companyCost
+	behind := float64(w.reading.total()) / s.rate * backlogShare
+	company := float64(w.count) * (companyCost + missing/s.rate*companyShare)
+	cost := wait + (ahead+s.first+behind+missing/s.rate*a.weight)*pace + company
 	c.Wait, c.Delay, c.Cost = clock.Span(wait+ahead*pace), clock.Span(delay), clock.Span(cost)
 	return c, cost
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -319,3 +319,30 @@
 	busy, _ := choose(p, start, long)
 	require.Greater(t, busy.Delay-idle.Delay, clock.Span(500), "more than the 300 ms that wait already")
 }
+
+// Guards against a long prompt that is read where it makes the most streams pause.
+func TestLongPromptAvoidsStreams(t *testing.T) {
+	p := newPool(infos(2)...)
+	p.Hear(start, "i2", map[ident.Endpoint]pool.PeerLoad{
+		"e0": {Count: 3}, "e1": {Count: 1, Reading: pool.Backlog{1000}},
+	})
+	long := prompt(1)
+	long.Parts = nil
+	for range 4 {
+		c, _ := choose(p, start, long)
+		require.Equal(t, ident.Endpoint("e1"), c.Endpoint)
+	}
+}
+
+// Guards against a short request whose stream pauses while a long prompt is read, although
+// another engine is nearly as fast.
+func TestShortRequestAvoidsReading(t *testing.T) {
+	p := newPool(infos(2)...)
+	p.Hear(start, "i2", map[ident.Endpoint]pool.PeerLoad{
+		"e0": {Count: 1, Reading: pool.Backlog{0, 17_000}}, "e1": {Count: 1, Reading: pool.Backlog{6000}},
+	})
+	for range 4 {
+		c, _ := choose(p, start, pool.Ask{Service: "s", Engine: true, Prompt: 100, Output: 50})
+		require.Equal(t, ident.Endpoint("e1"), c.Endpoint)
+	}
+}
