--- a/mesh/table.go
+++ b/mesh/table.go
@@ -323,13 +323,19 @@
 	Trip clock.Span
 }
 
+// takesHops reports whether an instance serves, hears this one and is heard by it.
+func (t *Table) takesHops(now clock.Time, p *peer) bool {
+	serves := p.State == Ready || p.State == Leaving
+	return serves && p.mutual && now.Sub(p.direct) < t.span(p) && t.heardOf(now, p.Region)
+}
+
 // Regions returns the other regions that can be reached.
 func (t *Table) Regions(now clock.Time) (regions []Region) {
 	byName := make(map[ident.Region]*Region)
 	newest := make(map[ident.Region]clock.Time)
 	leaving := make(map[ident.Region][]string)
 	for _, p := range t.peers {
-		if p.Region == t.self.Region || p.State == Starting || p.State == Closed || !p.mutual || now.Sub(p.direct) >= t.span(p) || !t.heardOf(now, p.Region) {
+		if p.Region == t.self.Region || !t.takesHops(now, p) {
 			continue
 		}
 		r := byName[p.Region]
