feat(mesh): detect a dead instance in constant time through monitors

Cause: an instance was given up after three cycles in which everyone sends to everyone of its region: 1.8 s at 4 instances, 8.4 s in a region of 39, 20 s in one of 98. Until then the directory names the dead. Change: an instance sends a heartbeat in each round to two monitors of its zone and two of the other zones of its region. A silent one is probed, directly and through two others, and then declared down to all; it refutes that with a higher counter. An instance that was itself delayed or hears nobody declares nobody down. New instances ask for many records.

--- a/cmd/gate.go
+++ b/cmd/gate.go
@@ -42,6 +42,10 @@
 }
 
 func runGate(ctx context.Context, c *cli.Command) error {
+	// A signal that arrives during the start must drain the instance too.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	path := os.Getenv(platform.SettingsVariable)
 	settings, err := platform.Load(path)
 	if err != nil {
@@ -60,9 +64,6 @@
 		return err
 	}
 	defer log.Close()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	adapter := platform.New(settings)
 	server, err := gate.Start(ctx, gate.Config{
 		Settings: settings, Protocol: adapter, Source: adapter, Clock: clock.NewSystem(),
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -1,9 +1,12 @@
 // Package mesh implements membership and the exchange of short, idempotent facts between the
 // instances over UDP: which instances exist, their state, and the load of the endpoints.
 //
-// Each instance increments a counter in its own record. Records spread by gossip; an instance
-// whose counter does not change for too long is considered gone. Datagrams may be lost, delayed or
-// duplicated, and no decision depends on their order.
+// Each instance increments a counter in its own record. In each round it sends a heartbeat to a few
+// monitors of its region; a monitor that hears nothing probes the instance, directly and through
+// others, and then tells all instances that it is down. An instance that is wrongly considered down
+// refutes that with a higher counter. Records also spread by gossip, and an instance whose counter
+// does not change for a long time is considered gone without a monitor. Datagrams may be lost,
+// delayed or duplicated, and no decision depends on their order.
 package mesh
 
 import (
@@ -58,9 +61,29 @@
 	Hop   string
 }
 
+// DownNotice says that an instance is down: a monitor heard nothing of it after this counter value.
+type DownNotice struct {
+	Name        ident.Entry
+	Incarnation ident.Incarnation
+	Counter     uint64
+}
+
 // Message is the content of one datagram.
 type Message struct {
 	From Record
+	// Receiver is the name of the intended receiver, or empty if the sender knows only its address.
+	Receiver ident.Entry
+	// Heartbeat reports whether the receiver is one of the sender's monitors.
+	Heartbeat bool
+	// Down lists instances that are down, and RelayDown asks the receiver to tell its region.
+	Down      []DownNotice
+	RelayDown bool
+	// Probe lists instances that the receiver is asked to probe for the sender.
+	Probe []ident.Entry
+	// Reached lists instances that have answered such a probe.
+	Reached []ident.Entry
+	// Join requests the records of many instances.
+	Join bool
 	// HearsReceiver reports whether the sender has recently received a message from the receiver.
 	HearsReceiver bool
 	// Records describe some other instances.
@@ -95,18 +118,22 @@
 }
 
 const (
-	// roundInterval is the time between two rounds of messages, and largeFleetInterval the same
-	// from largeFleetSize other instances on, which bounds the control traffic.
-	roundInterval      = 200 * clock.Millisecond
-	largeFleetInterval = 400 * clock.Millisecond
-	largeFleetSize     = 40
+	// roundInterval is the time between two rounds of messages. From largeFleetSize other instances
+	// on, facts are sent in every largeFleetRounds-th round only, which bounds the control traffic.
+	roundInterval    = 200 * clock.Millisecond
+	largeFleetRounds = 2
+	largeFleetSize   = 40
 	// regionFanout and remoteFanout are how many instances of the own region and of other regions
 	// get a message per round. They bound what an instance sends, regardless of the size of the
 	// fleet.
 	regionFanout = 6
 	remoteFanout = 2
-	// maxGossipRecords is the maximum number of other instances' records in a message.
+	// maxGossipRecords is the maximum number of other instances' records in a message, and
+	// maxJoinRecords the same in the reply to an instance that joins.
 	maxGossipRecords = 4
+	maxJoinRecords   = 32
+	// maxLoads bounds the endpoint loads in one message; the largest ones are kept.
+	maxLoads = 160
 	// maxCrashReports bounds the crash reports in one message.
 	maxCrashReports = 16
 	// minAliveTimeout is how long an instance counts as alive without a counter change in a small
@@ -115,6 +142,36 @@
 	// aliveCycles is how many complete cycles of sending to all instances this timeout covers in a
 	// large fleet.
 	aliveCycles = 3
+	// zoneMonitors and otherZoneMonitors are how many instances of its own zone and of the other
+	// zones of its region monitor an instance, so that the loss of a zone is noticed too.
+	zoneMonitors      = 2
+	otherZoneMonitors = 2
+	// suspectTimeout is the silence after which a monitor probes an instance, and probeTimeout the
+	// time for an answer before it is declared down. indirectProbes is how many other instances are
+	// asked to probe it too.
+	suspectTimeout = 600 * clock.Millisecond
+	probeTimeout   = 400 * clock.Millisecond
+	indirectProbes = 2
+	// manyDown is the number of recent notices from which an instance also monitors the instances that
+	// it sends facts to: all monitors of an instance may have died with it.
+	manyDown = 3
+	// recentMessage is the age of an instance's own last message up to which a notice that it is
+	// down is ignored.
+	recentMessage = 600 * clock.Millisecond
+	// maxRoundDelay is the delay of a round from which this instance assumes that it was itself
+	// suspended or overloaded, and gives others a new suspectTimeout.
+	maxRoundDelay = 200 * clock.Millisecond
+	// noticeRetention is how long a notice is repeated in messages with facts, maxNotices the maximum
+	// number in one message. noticeCounterSlack is by how much the counter may be above that of the
+	// notice: others may have heard the instance once more than the monitor.
+	noticeRetention    = 3 * clock.Second
+	maxNotices         = 64
+	noticeCounterSlack = 3
+	// refuteInterval is the minimum interval between two refutations of an instance.
+	refuteInterval = 1 * clock.Second
+	// downRelays is how many instances of each other region are told of an instance that is down;
+	// they tell their region.
+	downRelays = 4
 	// roundTripDecayDivisor limits the growth of the round-trip estimate per sample to
 	// 1/roundTripDecayDivisor of the difference.
 	roundTripDecayDivisor = 16
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -59,17 +59,15 @@
 	defer n.socket.Close() //nolint:errcheck // the process is ending
 	for {
 		facts := n.config.Facts()
-		interval := roundInterval
 		n.send(withTable(n, func(t *Table, now clock.Time) []OutgoingMessage {
 			t.RemoveExpired(now)
-			interval = t.RoundInterval()
 			n.logAlive(len(t.Alive(now)))
 			return t.NextRound(now, facts)
 		}))
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(interval.Duration()):
+		case <-time.After(roundInterval.Duration()):
 		}
 	}
 }
@@ -98,11 +96,15 @@
 			n.config.Log.Warn("malformed datagram", zap.Error(err))
 			continue
 		}
-		reply := withTable(n, func(t *Table, now clock.Time) *OutgoingMessage { return t.Receive(now, message) })
-		n.config.OnFacts(message.From, message.Facts)
-		if reply != nil {
-			n.send([]OutgoingMessage{*reply})
+		accepted := false
+		replies := withTable(n, func(t *Table, now clock.Time) []OutgoingMessage {
+			accepted = t.Accepts(message)
+			return t.Receive(now, message)
+		})
+		if accepted {
+			n.config.OnFacts(message.From, message.Facts)
 		}
+		n.send(replies)
 	}
 }
 
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -22,12 +22,24 @@
 	lastMessage clock.Time
 	// hearsSelf reports whether the peer recently received a message from this instance.
 	hearsSelf bool
-	// peerSendTime is the peer's clock in its last message, roundTrip the estimated minimum
-	// round-trip time.
+	// peerSendTime is the peer's clock in its last message that carries one, echoHeldFrom when that
+	// message arrived, and roundTrip the estimated minimum round-trip time.
 	peerSendTime     clock.Time
+	echoHeldFrom     clock.Time
 	roundTrip        clock.Span
 	services         []pool.Summary
 	servicesReceived clock.Time
+	// down reports whether a monitor has declared the instance down, downSince is when this one learned
+	// of that, and downCounter the counter above which it is up again.
+	down        bool
+	downSince   clock.Time
+	downCounter uint64
+	// monitored reports whether this instance is one of the peer's monitors, probedAt is when it sent
+	// a probe that is not answered yet, 0 if none, and reachedAt when another instance last reached
+	// the peer.
+	monitored bool
+	probedAt  clock.Time
+	reachedAt clock.Time
 }
 
 // Table is what an instance knows about the other instances. It is not safe for concurrent use.
@@ -48,6 +60,16 @@
 	regionCursor int
 	remoteCursor int
 	rng          *rand.Rand
+
+	// round counts the rounds, and lastRound is when the last one began.
+	round     uint64
+	lastRound clock.Time
+	// lastMessage is when the last message of any instance arrived.
+	lastMessage clock.Time
+	// detectFrom is the time before which silent instances are not probed.
+	detectFrom    clock.Time
+	probeRequests []probeRequest
+	lastRefuted   clock.Time
 }
 
 // NewTable returns a Table that knows only the addresses of the seeds.
@@ -80,22 +102,52 @@
 	Message Message
 }
 
-// NextRound increments the counter and returns the messages to send.
-func (t *Table) NextRound(now clock.Time, facts Facts) (messages []OutgoingMessage) {
+// NextRound increments the counter and returns the messages to send: heartbeats, probes and, unless
+// the round is left out in a large fleet, gossip and facts.
+func (t *Table) NextRound(now clock.Time, facts Facts) []OutgoingMessage {
 	t.self.Counter++
+	t.round++
 	regional, remote := t.peersByRegion()
 	t.regionPeers, t.remotePeers, t.regionCount = len(regional), len(remote), t.countRegions()
+	messages := append(t.heartbeats(now, regional), t.detect(now, regional)...)
+	if t.round%t.factRounds() == 0 {
+		messages = append(messages, t.factMessages(now, regional, remote, facts)...)
+	}
+	return append(messages, t.seedMessages(now)...)
+}
+
+func (t *Table) heartbeats(now clock.Time, regional []*peer) (messages []OutgoingMessage) {
+	for _, p := range t.monitors(now, regional) {
+		messages = append(messages, OutgoingMessage{p.Mesh, Message{From: t.self, Receiver: p.Name, Heartbeat: true}})
+	}
+	return messages
+}
+
+// factMessages returns the messages with gossip and facts to the next instances of the cycles.
+func (t *Table) factMessages(now clock.Time, regional, remote []*peer, facts Facts) (messages []OutgoingMessage) {
+	loads, notices := largestLoads(facts.Loads), t.recentNotices(now)
 	for _, p := range nextInCycle(regional, &t.regionCursor, regionFanout) {
+		p.monitored = p.monitored || len(notices) >= manyDown
 		message := t.messageTo(now, p)
-		message.Loads, message.CrashReports = facts.Loads, visibleReports(facts.CrashReports, p.Region)
+		message.Down, message.Loads, message.CrashReports = notices, loads, visibleReports(facts.CrashReports, p.Region)
 		messages = append(messages, OutgoingMessage{p.Mesh, message})
 	}
 	for _, p := range nextInCycle(remote, &t.remoteCursor, max(remoteFanout, t.regionCount)) {
 		message := t.messageTo(now, p)
-		message.Services, message.CrashReports = facts.Services, visibleReports(facts.CrashReports, p.Region)
+		message.Down, message.Services, message.CrashReports = notices, facts.Services, visibleReports(facts.CrashReports, p.Region)
 		messages = append(messages, OutgoingMessage{p.Mesh, message})
 	}
-	return append(messages, t.seedMessages(now)...)
+	return messages
+}
+
+// largestLoads returns at most maxLoads of the loads.
+func largestLoads(loads []EndpointLoad) []EndpointLoad {
+	if len(loads) <= maxLoads {
+		return loads
+	}
+	sorted := slices.Clone(loads)
+	slices.SortFunc(sorted, func(a, b EndpointLoad) int { return cmp.Compare(b.Count, a.Count) })
+	return sorted[:maxLoads]
 }
 
 // visibleReports returns the crash reports that a region may receive, at most maxCrashReports.
@@ -119,8 +171,9 @@
 
 func (t *Table) messageTo(now clock.Time, receiver *peer) Message {
 	return Message{
-		From: t.self, HearsReceiver: now.Sub(receiver.lastMessage) < t.aliveTimeout(receiver), Records: t.gossipSample(now, receiver.Name),
-		Sent: now, EchoedTime: receiver.peerSendTime, HoldTime: now.Sub(receiver.lastMessage),
+		From: t.self, Receiver: receiver.Name, Join: !t.Settled(now),
+		HearsReceiver: now.Sub(receiver.lastMessage) < t.aliveTimeout(receiver), Records: t.gossipSample(now, receiver.Name, maxGossipRecords),
+		Sent: now, EchoedTime: receiver.peerSendTime, HoldTime: now.Sub(receiver.echoHeldFrom),
 	}
 }
 
@@ -132,7 +185,7 @@
 			known = known || p.Mesh == s && t.alive(now, p)
 		}
 		if !known {
-			messages = append(messages, OutgoingMessage{s, Message{From: t.self, WantReply: true}})
+			messages = append(messages, OutgoingMessage{s, Message{From: t.self, WantReply: true, Join: true}})
 		}
 	}
 	return messages
@@ -169,30 +222,38 @@
 	return next
 }
 
-// gossipSample returns some records of live instances.
-func (t *Table) gossipSample(now clock.Time, receiver ident.Entry) (records []Record) {
+// gossipSample returns up to count records of live instances.
+func (t *Table) gossipSample(now clock.Time, receiver ident.Entry, count int) (records []Record) {
 	if len(t.names) == 0 {
 		return nil
 	}
 	start := t.rng.IntN(len(t.names))
 	step := 1 + t.rng.IntN(len(t.names))
-	for i := range min(len(t.names), 2*maxGossipRecords) {
+	for i := range min(len(t.names), 2*count) {
 		candidate := t.peers[t.names[(start+i*step)%len(t.names)]]
 		if candidate == nil || candidate.Name == receiver || !t.alive(now, candidate) {
 			continue
 		}
-		if records = append(records, candidate.Record); len(records) == maxGossipRecords {
+		if records = append(records, candidate.Record); len(records) == count {
 			break
 		}
 	}
 	return records
 }
 
-// Receive processes a message and returns the reply if one was requested, or nil.
-func (t *Table) Receive(now clock.Time, message Message) *OutgoingMessage {
-	if message.From.Name == t.self.Name || message.From.Name == "" {
+// Accepts reports whether a message is meant for this instance and from another one. An address may
+// have belonged to another instance before.
+func (t *Table) Accepts(message Message) bool {
+	return message.From.Name != t.self.Name && message.From.Name != "" && (message.Receiver == "" || message.Receiver == t.self.Name)
+}
+
+// Receive processes a message and returns the messages to send in response.
+func (t *Table) Receive(now clock.Time, message Message) []OutgoingMessage {
+	if !t.Accepts(message) {
 		return nil
 	}
+	known := t.peers[message.From.Name]
+	wasDown := known != nil && known.down
 	t.mergeRecord(now, message.From)
 	for _, r := range message.Records {
 		t.mergeRecord(now, r)
@@ -201,18 +262,50 @@
 	if sender == nil || sender.Incarnation != message.From.Incarnation {
 		return nil
 	}
-	sender.lastMessage, sender.hearsSelf, sender.peerSendTime = now, message.HearsReceiver, message.Sent
+	t.recordMessage(now, sender, message)
+	t.recordReached(now, message.Reached)
+	replies := append(t.receiveNotices(now, message), t.receiveProbes(now, message)...)
+	replies = append(replies, t.answerProbes(now, sender)...)
+	if message.WantReply || message.Join || wasDown {
+		replies = append(replies, t.reply(now, sender, message, wasDown))
+	}
+	return replies
+}
+
+// recordMessage updates what is known about the sender of a message.
+func (t *Table) recordMessage(now clock.Time, sender *peer, message Message) {
+	if message.Heartbeat {
+		sender.monitored = true
+	} else if sender.probedAt > 0 {
+		// The instance answers a probe but sends no heartbeats: it has other monitors now.
+		sender.monitored = false
+	}
+	sender.probedAt = 0
+	sender.lastMessage, t.lastMessage, t.lastReceived[sender.Region] = now, now, now
+	if message.Sent > 0 {
+		sender.hearsSelf, sender.peerSendTime = message.HearsReceiver, message.Sent
+		sender.echoHeldFrom = now
+	}
 	if message.EchoedTime > 0 {
 		sender.updateRoundTrip(now.Sub(message.EchoedTime) - message.HoldTime)
 	}
-	t.lastReceived[sender.Region] = now
 	if message.Services != nil {
 		sender.services, sender.servicesReceived = message.Services, now
 	}
-	if message.WantReply {
-		return &OutgoingMessage{sender.Mesh, t.messageTo(now, sender)}
+}
+
+// reply returns the response to a message: the state of this instance, records for a joining one,
+// and a notice for one that was considered down, so that it refutes that everywhere.
+func (t *Table) reply(now clock.Time, sender *peer, message Message, wasDown bool) OutgoingMessage {
+	reply := t.messageTo(now, sender)
+	reply.Join = false
+	if message.Join {
+		reply.Records = t.gossipSample(now, sender.Name, maxJoinRecords)
+	}
+	if wasDown {
+		reply.Down = []DownNotice{{sender.Name, sender.Incarnation, sender.downCounter}}
 	}
-	return nil
+	return OutgoingMessage{sender.Mesh, reply}
 }
 
 // updateRoundTrip adds a sample of the round-trip time. Delays above the minimum are transient, so
@@ -240,6 +333,9 @@
 		*known = peer{Record: record, counterSeen: now}
 	case record.Incarnation == known.Incarnation && record.Counter > known.Counter:
 		known.Record, known.counterSeen = record, now
+		if record.Counter > known.downCounter {
+			known.down = false
+		}
 	}
 }
 
@@ -255,19 +351,21 @@
 	if other.Region == t.self.Region {
 		roundsPerCycle = t.regionPeers/regionFanout + 1
 	}
-	return max(minAliveTimeout, aliveCycles*clock.Span(roundsPerCycle)*t.RoundInterval())
+	return max(minAliveTimeout, aliveCycles*clock.Span(roundsPerCycle)*t.factInterval())
 }
 
-// RoundInterval returns the time until the next round.
-func (t *Table) RoundInterval() clock.Span {
+// factRounds returns the number of rounds from one message with facts to the next.
+func (t *Table) factRounds() uint64 {
 	if len(t.peers) >= largeFleetSize {
-		return largeFleetInterval
+		return largeFleetRounds
 	}
-	return roundInterval
+	return 1
 }
 
+func (t *Table) factInterval() clock.Span { return roundInterval * clock.Span(t.factRounds()) }
+
 func (t *Table) alive(now clock.Time, other *peer) bool {
-	return now.Sub(other.counterSeen) < t.aliveTimeout(other) && (other.Region == t.self.Region || t.regionAlive(now, other.Region))
+	return !other.down && now.Sub(other.counterSeen) < t.aliveTimeout(other) && (other.Region == t.self.Region || t.regionAlive(now, other.Region))
 }
 
 // regionAlive reports whether a message of any instance of another region arrived recently. Each
@@ -275,7 +373,7 @@
 // time out.
 func (t *Table) regionAlive(now clock.Time, region ident.Region) bool {
 	last, ok := t.lastReceived[region]
-	return ok && now.Sub(last) < max(minRegionTimeout, regionTimeoutRounds*t.RoundInterval())
+	return ok && now.Sub(last) < max(minRegionTimeout, regionTimeoutRounds*t.factInterval())
 }
 
 // Alive returns the other instances that are reachable and ready, sorted by name.
@@ -334,7 +432,7 @@
 // directions.
 func (t *Table) acceptsHops(now clock.Time, other *peer) bool {
 	serves := other.State == Ready || other.State == Leaving
-	return serves && other.hearsSelf && now.Sub(other.lastMessage) < t.aliveTimeout(other) && t.regionAlive(now, other.Region)
+	return serves && !other.down && other.hearsSelf && now.Sub(other.lastMessage) < t.aliveTimeout(other) && t.regionAlive(now, other.Region)
 }
 
 // Regions returns the other regions that are reachable, sorted by name.
