feat(gate): read the store by a few instances that watch, for all of the region

Cause: each instance watched the configuration by itself, and three of a region read the whole list of endpoints every second. Change: three readers of a region watch the list and the configuration; the others query one of them twice a second for what is newer than their revisions. Changes carry the store's own revisions, entries go in a compact form, and lists that differ are repaired in the buckets whose digests differ. Older data change nothing. If two readers fail, an instance watches the store itself for 2 s. An endpoint that is missing after an outage is dropped without waiting for another change of the list.

--- a/gate/doc.go
+++ b/gate/doc.go
@@ -176,8 +176,8 @@
 	store.Reader
 	EndpointPrefix() string
 	ControlPrefix() string
-	// Endpoints returns the endpoints and the keys of malformed entries.
-	Endpoints(s store.Snapshot) ([]pool.Info, []string)
+	// Endpoint parses an entry of the list. Its id is the key without EndpointPrefix.
+	Endpoint(item store.Item) (pool.Info, error)
 	// Control returns the routing table, or nil if there is none, and the evacuated zones.
 	Control(s store.Snapshot) (*bundle.Table, []ident.Zone, error)
 }
--- /dev/null
+++ b/gate/listing_test.go
@@ -0,0 +1,205 @@
+package gate
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/pool"
+	"github.com/tanagerbridge/tanagerbridge/store"
+)
+
+// parseTestItem decodes the test's items, whose value is the endpoint's address.
+func parseTestItem(item store.Item) (pool.Info, error) {
+	if len(item.Value) == 0 {
+		return pool.Info{}, fault.New("parse", KindInvalid)
+	}
+	return pool.Info{ID: ident.Endpoint(item.Key[2:]), Address: string(item.Value)}, nil
+}
+
+// wholeUpdate returns the update of a read of the whole list.
+func wholeUpdate(items map[string]store.Item, revision store.Revision, now clock.Time) store.Update {
+	update := store.Update{Whole: true, Revision: revision, Read: now}
+	for _, i := range items {
+		update.Items = append(update.Items, i)
+	}
+	return update
+}
+
+// Guards, over random interleavings of changes, reads and watch calls by two instances and queries
+// of a third one to either, against a list that misses a change, keeps removed endpoints or goes
+// back to an older state.
+func TestListOfReaders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		truth := make(map[string]store.Item)
+		var log []store.Event
+		revision := store.Revision(1)
+		now := clock.Time(1000)
+		readers := []*listing{newListing(), newListing()}
+		apply := func(reader int, update store.Update) {
+			_, malformed := readers[reader].applyUpdate(update, "e/", parseTestItem)
+			require.Empty(t, malformed)
+		}
+		read := func(reader int) { apply(reader, wholeUpdate(truth, revision, now)) }
+		watch := func(reader int) {
+			update := store.Update{Revision: revision, Read: now}
+			last := make(map[string]store.Event)
+			for _, e := range log {
+				if e.Changed > readers[reader].revision {
+					last[e.Key] = e
+				}
+			}
+			for key, e := range last {
+				if e.Deleted {
+					update.Deleted = append(update.Deleted, key)
+				} else {
+					update.Items = append(update.Items, e.Item)
+				}
+			}
+			apply(reader, update)
+		}
+		read(0)
+		read(1)
+		own, differs := newListing(), false
+		query := func(reader int) {
+			var theirs *digests
+			if differs {
+				theirs = &own.digests
+			}
+			before := own.revision
+			_, differs = own.applyDelta(now, readers[reader].since(now, own.revision, theirs))
+			require.GreaterOrEqual(t, own.revision, before)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now++
+			reader := rapid.IntRange(0, 1).Draw(t, "reader")
+			key := fmt.Sprint("e/", rapid.IntRange(0, 4).Draw(t, "key"))
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				revision++
+				item := store.Item{Key: key, Changed: revision, Value: fmt.Appendf(nil, "a%d", rapid.IntRange(0, 2).Draw(t, "value"))}
+				truth[key] = item
+				log = append(log, store.Event{Item: item})
+			case 1:
+				revision++
+				delete(truth, key)
+				log = append(log, store.Event{Item: store.Item{Key: key, Changed: revision}, Deleted: true})
+			case 2:
+				read(reader)
+			case 3:
+				watch(reader)
+			case 4:
+				query(reader)
+			}
+		}
+		last := rapid.IntRange(0, 1).Draw(t, "last")
+		revision++
+		read(last)
+		query(last)
+		query(last) // the second query repairs a digest mismatch found by the first
+		require.Equal(t, values(truth), addresses(own))
+	})
+}
+
+func values(items map[string]store.Item) map[string]string {
+	found := make(map[string]string)
+	for k, i := range items {
+		found[k] = string(i.Value)
+	}
+	return found
+}
+
+func addresses(list *listing) map[string]string {
+	found := make(map[string]string)
+	for id, e := range list.entries {
+		found["e/"+string(id)] = e.Info.Address
+	}
+	return found
+}
+
+// Guards against heartbeats that are forwarded as changes.
+func TestHeartbeatsAreNoChange(t *testing.T) {
+	list := newListing()
+	at := func(revision store.Revision, cold clock.Span) {
+		list.applyUpdate(store.Update{Whole: true, Revision: revision, Items: []store.Item{{Key: "e/a", Value: []byte("x"), Changed: revision}}}, "e/",
+			func(store.Item) (pool.Info, error) { return pool.Info{ID: "a", ColdRemaining: cold}, nil })
+	}
+	at(5, 900)
+	at(6, 400)
+	require.Empty(t, list.since(0, 5, nil).Entries)
+	at(7, 0)
+	require.Len(t, list.since(0, 6, nil).Entries, 1, "the endpoint is no longer cold")
+	require.True(t, list.since(0, 4, nil).Whole, "the revision precedes the first read")
+}
+
+// Guards against a whole list that is sent because of a few differing entries.
+func TestDifferingListIsRepairedInPart(t *testing.T) {
+	reader, other := newListing(), newListing()
+	items := make(map[string]store.Item)
+	for i := range 3000 {
+		key := fmt.Sprint("e/", i)
+		items[key] = store.Item{Key: key, Value: []byte("x"), Changed: 1}
+	}
+	reader.applyUpdate(wholeUpdate(items, 1, 0), "e/", parseTestItem)
+	delta := reader.since(0, 0, nil)
+	require.True(t, delta.Whole)
+	delta.Entries = delta.Entries[:2998] // two entries are lost
+	_, differs := other.applyDelta(0, delta)
+	require.True(t, differs)
+	repair := reader.since(0, other.revision, &other.digests)
+	require.False(t, repair.Whole)
+	require.Less(t, len(repair.Entries), 200)
+	_, differs = other.applyDelta(0, repair)
+	require.False(t, differs)
+	require.Equal(t, addresses(reader), addresses(other))
+}
+
+// Guards against a departed endpoint that is in use again, because an instance with older data, or
+// an answer that was read earlier, is believed.
+func TestOlderListChangesNothing(t *testing.T) {
+	items := map[string]store.Item{"e/a": {Key: "e/a", Value: []byte("x"), Changed: 3}, "e/b": {Key: "e/b", Value: []byte("x"), Changed: 4}}
+	stale, current := newListing(), newListing()
+	stale.applyUpdate(wholeUpdate(items, 5, 10), "e/", parseTestItem)
+	current.applyUpdate(wholeUpdate(items, 5, 10), "e/", parseTestItem)
+	current.applyUpdate(store.Update{Revision: 6, Deleted: []string{"e/b"}, Read: 20}, "e/", parseTestItem)
+	want := maps.Clone(current.entries)
+	for _, delta := range []listDelta{stale.since(20, 0, nil), stale.since(20, 4, nil), stale.since(20, 5, &current.digests)} {
+		changed, _ := current.applyDelta(20, delta)
+		require.False(t, changed)
+		require.Equal(t, want, current.entries)
+	}
+	changed, _ := current.applyUpdate(wholeUpdate(items, 5, 10), "e/", parseTestItem)
+	require.False(t, changed)
+	require.Equal(t, want, current.entries)
+}
+
+// Guards against an entry that can't be read but keeps naming an endpoint to use.
+func TestMalformedEntryNamesNoEndpoint(t *testing.T) {
+	list := newListing()
+	list.applyUpdate(store.Update{Whole: true, Revision: 1, Items: []store.Item{{Key: "e/a", Value: []byte("x"), Changed: 1}}}, "e/", parseTestItem)
+	changed, malformed := list.applyUpdate(store.Update{Revision: 2, Items: []store.Item{{Key: "e/a", Changed: 2}}}, "e/", parseTestItem)
+	require.True(t, changed)
+	require.Equal(t, []string{"e/a"}, malformed)
+	require.Empty(t, list.entries)
+}
+
+// Guards against a query of another instance that does not decode to what was encoded, and against
+// malformed ones that are accepted.
+func TestSyncQuery(t *testing.T) {
+	sums := digests{3: 1 << 63, 63: 5}
+	for _, want := range []syncQuery{{}, {list: 7, control: 9}, {list: 7, control: 9, digests: &sums}} {
+		got, err := parseSyncQuery(want.uri())
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	for _, bad := range []string{"", "1", "1/x", "x/1", "1/2/zz", "1/2/00", "1/2/00/3"} {
+		_, err := parseSyncQuery(syncPath + bad)
+		require.Error(t, err, bad)
+	}
+}
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -22,13 +22,15 @@
 	connections   gometrics.Counter
 	storeFailures gometrics.Counter
 	active        gometrics.Counter
+	// syncBytes counts the bytes of store data that are sent to other instances.
+	syncBytes gometrics.Counter
 }
 
 func newMetrics(registry gometrics.Registry) *metrics {
 	counter := func(name string) gometrics.Counter { return gometrics.NewRegisteredCounter(name, registry) }
 	return &metrics{
 		registry: registry, connections: counter("endpoint.connections"), storeFailures: counter("store.failures"),
-		active: counter("requests.active"),
+		active: counter("requests.active"), syncBytes: counter("sync.bytes"),
 	}
 }
 
--- a/gate/server.go
+++ b/gate/server.go
@@ -31,17 +31,15 @@
 	// defaultPropagationBound is the time within which published changes must take effect if the
 	// settings specify none.
 	defaultPropagationBound = 3 * clock.Second
-	// listPollDivisor divides that time to get the interval between two reads of the list of
-	// endpoints, and controlWatchDivisor to get the longest wait of one watch call for the
-	// configuration. Each call is billed.
-	listPollDivisor     = 3
-	controlWatchDivisor = 2
-	// maxListInterval bounds the interval between two reads of the list: a longer one would be
-	// taken for an outage.
-	maxListInterval = 1500 * clock.Millisecond
-	// controlReadInterval is the interval at which the whole configuration is read again beside
-	// the watch.
+	// watchDivisor divides that time to get the longest wait of one watch call. Each call is billed.
+	watchDivisor = 3
+	// maxListWatch bounds the wait of a watch call for the list: a longer time between two answers
+	// would be taken for an outage.
+	maxListWatch = 1500 * clock.Millisecond
+	// controlReadInterval and listReadInterval are the intervals at which the whole configuration and
+	// the whole list are read again beside the watches.
 	controlReadInterval = 6 * clock.Second
+	listReadInterval    = 30 * clock.Second
 	// checkInterval is the interval between two checks for due health checks.
 	checkInterval = 50 * clock.Millisecond
 	// startupPollInterval is the interval at which a new instance checks whether it can serve, and
@@ -68,6 +66,13 @@
 	lastArrival atomic.Int64
 	// bodyBytes is the memory reserved for request bodies.
 	bodyBytes atomic.Int64
+	// started is when the process started.
+	started clock.Time
+	// directUntil is the time until which this instance reads the store itself although others of the
+	// region do, as a clock.Time.
+	directUntil atomic.Int64
+	// wholeTransfers counts the whole lists that are being sent to other instances.
+	wholeTransfers atomic.Int64
 
 	callerServer *http.Server
 	hopServer    *http.Server
@@ -90,7 +95,7 @@
 	counters := newMetrics(config.Registry)
 	server := &Server{
 		settings: config.Settings, protocol: config.Protocol, clock: config.Clock, log: config.Log,
-		metrics: counters, state: newState(config, counters),
+		metrics: counters, state: newState(config, counters), started: config.Clock.Now(),
 	}
 	server.idleConns = newIdleConns(server)
 	ctx, server.cancel = context.WithCancel(context.WithoutCancel(ctx))
@@ -147,10 +152,8 @@
 func (s *Server) instanceHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch inner := r.Header.Get(headerHop) == ""; {
-		case inner && r.RequestURI == viewPath:
-			s.serveView(w, r)
-		case inner && strings.HasPrefix(r.RequestURI, listPath):
-			s.serveList(w, r)
+		case inner && strings.HasPrefix(r.RequestURI, syncPath):
+			s.serveSync(w, r)
 		default:
 			s.serveHop(w, r)
 		}
@@ -201,23 +204,23 @@
 
 // startLoops starts the background loops of the instance.
 func (s *Server) startLoops(ctx context.Context, source Source) {
-	interval := min(maxListInterval, boundOrDefault(s.settings.ListBound)/listPollDivisor)
 	list := store.NewFollower(store.Config{
-		Reader: source, Clock: s.clock, Prefix: source.EndpointPrefix(), Interval: interval,
-		OnChange: s.state.applyOwnList, OnResult: s.state.storeResultHandler("endpoints"),
+		Reader: source, Clock: s.clock, Prefix: source.EndpointPrefix(), Interval: listReadInterval,
+		WatchTimeout: min(maxListWatch, boundOrDefault(s.settings.ListBound)/watchDivisor),
+		OnUpdate:     s.state.applyOwnList, OnResult: s.state.storeResultHandler("endpoints"), ContinueRead: s.continueFirstRead,
 	})
 	control := store.NewFollower(store.Config{
 		Reader: source, Clock: s.clock, Prefix: source.ControlPrefix(), Interval: controlReadInterval,
-		WatchTimeout: boundOrDefault(s.settings.ControlBound) / controlWatchDivisor,
-		OnChange:     s.state.applyOwnControl, OnResult: s.state.storeResultHandler("control"),
+		WatchTimeout: boundOrDefault(s.settings.ControlBound) / watchDivisor,
+		OnUpdate:     s.state.applyOwnControl, OnResult: s.state.storeResultHandler("control"),
 	})
-	s.tasks.Go(func() { s.followList(ctx, list, interval) })
-	s.tasks.Go(func() { control.Run(ctx) })
+	s.tasks.Go(func() { s.followList(ctx, list) })
+	s.tasks.Go(func() { s.followControl(ctx, control) })
 	s.tasks.Go(func() { runEvery(ctx, checkInterval.Duration(), s.startHealthChecks) })
 	s.tasks.Go(func() { runEvery(ctx, maintainInterval, s.maintain) })
 	s.tasks.Go(func() {
 		s.awaitReady(ctx)
-		runEvery(ctx, viewInterval.Duration(), s.refreshView)
+		runEvery(ctx, outageInterval.Duration(), s.syncDuringOutage)
 	})
 }
 
@@ -227,7 +230,7 @@
 	queryFrom := s.clock.Now().Add(storeGrace)
 	for ctx.Err() == nil && !s.state.ready() {
 		if !s.clock.Now().Before(queryFrom) {
-			s.requestView(ctx)
+			s.syncWithAny(ctx)
 		}
 		clock.Sleep(ctx, startupPollInterval)
 	}
--- a/gate/state.go
+++ b/gate/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -48,12 +47,11 @@
 	// connection broke, by endpoint, until it is known whether the endpoint crashed.
 	suspects       *crash.Suspects
 	brokenRequests map[ident.Endpoint][]crash.InFlightRequest
-	// control and list are the newest snapshots of the store, and answeredAt is when the store, or
-	// the instance that supplies the list, last answered this one.
+	// control and listing are the newest data of the store, and answeredAt is when the store, or an
+	// instance that reads it, last answered this one.
 	control    store.Snapshot
-	list       store.Snapshot
+	listing    *listing
 	answeredAt clock.Time
-	history    listHistory
 	// listDiffers reports whether the list differs from that of another instance at the same
 	// revision.
 	listDiffers bool
@@ -63,7 +61,7 @@
 	created := &state{
 		settings: config.Settings, clock: config.Clock, log: config.Log, source: config.Source, metrics: counters,
 		pool:       pool.New(pool.Config{Self: config.Settings.Name, Region: config.Settings.Region, Seed: config.Seed}),
-		answeredAt: config.Clock.Now(), history: newListHistory(), retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
+		answeredAt: config.Clock.Now(), listing: newListing(), retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
 		recentHops: make(recentHops), hopsDownUntil: make(map[string]clock.Time),
 		suspects: crash.New(crash.Config{Term: suspectTerm}), brokenRequests: make(map[ident.Endpoint][]crash.InFlightRequest),
 	}
@@ -73,65 +71,9 @@
 	return created
 }
 
-// applyOwnList applies a list that this instance has read itself.
-func (s *state) applyOwnList(snapshot store.Snapshot) {
-	s.recordAnswer()
-	s.applyList(snapshot)
-}
-
-// applyOwnControl applies a configuration that this instance has read itself.
-func (s *state) applyOwnControl(snapshot store.Snapshot) {
-	s.recordAnswer()
-	s.applyControl(snapshot)
-}
-
-// recordAnswer records that the store, or the instance that supplies the list, answered this one.
-func (s *state) recordAnswer() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.answeredAt = s.clock.Now()
-}
-
-// lastAnswer returns when the store, or the instance that supplies the list, last answered this
-// one.
-func (s *state) lastAnswer() clock.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.answeredAt
-}
-
-// snapshots returns the newest snapshots of the store.
-func (s *state) snapshots() (control, list store.Snapshot) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.control, s.list
-}
-
 // ready reports whether the instance has all the data it needs to serve requests.
 func (s *state) ready() bool { return s.table.Load() != nil && s.listed.Load() }
 
-// applyList applies a new list of endpoints.
-func (s *state) applyList(snapshot store.Snapshot) {
-	infos, unreadable := s.source.Endpoints(snapshot)
-	for _, key := range unreadable {
-		s.log.Warn("malformed endpoint entry", zap.String("key", key))
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	s.list = snapshot
-	s.history.record(snapshot, s.source.EndpointPrefix(), infos)
-	for _, c := range s.pool.Sync(now, snapshot.Started, infos) {
-		s.log.Info("endpoint "+c.Kind, zap.String("endpoint", string(c.Endpoint)),
-			zap.String("service", string(c.Service)), zap.Int64("revision", int64(snapshot.Revision)))
-		if c.Kind == pool.Restarted {
-			s.recordCrash(now, c.Endpoint)
-		}
-	}
-	s.closeUnusedRelays(infos)
-	s.listed.Store(true)
-}
-
 // closeUnusedRelays closes the connections to addresses that no longer belong to an endpoint.
 func (s *state) closeUnusedRelays(infos []pool.Info) {
 	used := make(map[string]bool, len(infos))
@@ -147,37 +89,6 @@
 	})
 }
 
-// applyControl applies a new configuration and new evacuations.
-func (s *state) applyControl(snapshot store.Snapshot) {
-	table, zones, err := s.source.Control(snapshot)
-	if err != nil {
-		s.log.Error("malformed configuration, keeping the version in force", zap.Error(err),
-			zap.Int64("revision", int64(snapshot.Revision)))
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err == nil {
-		s.control = snapshot
-	}
-	slices.Sort(zones)
-	s.pool.SetEvacuatedZones(zones)
-	if table == nil {
-		return
-	}
-	previous := s.table.Load()
-	if previous != nil && table.Version <= previous.Version {
-		return
-	}
-	s.table.Store(table)
-	before := ident.Version(0)
-	if previous != nil {
-		before = previous.Version
-	}
-	s.log.Info("configuration in force", zap.Uint64("version", uint64(table.Version)),
-		zap.Uint64("before", uint64(before)), zap.Int("routes", len(table.Routes)),
-		zap.Int64("revision", int64(snapshot.Revision)))
-}
-
 // storeResultHandler returns a function that logs failed calls to the store and their recovery.
 func (s *state) storeResultHandler(content string) func(error) {
 	return func(err error) {
--- /dev/null
+++ b/gate/sync.go
@@ -0,0 +1,301 @@
+package gate
+
+import (
+	"context"
+	"encoding/hex"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/mesh"
+	"github.com/tanagerbridge/tanagerbridge/relay"
+	"github.com/tanagerbridge/tanagerbridge/store"
+	"github.com/tanagerbridge/tanagerbridge/watch"
+)
+
+const (
+	// syncPath is the path at which other instances query changes of the list of endpoints and of the
+	// configuration: syncPath + list revision / configuration revision [/ digests of the list].
+	syncPath = "/tanager/sync/"
+	// storeReaderCount is how many instances of a region read the store; the others query them. Calls
+	// to the store are rate-limited and billed.
+	storeReaderCount = 3
+	// dataAgeDivisor limits the age of another instance's data to 1/dataAgeDivisor of the time within
+	// which a change must take effect; if they are older, the instance reads the store itself.
+	dataAgeDivisor = 2
+	// syncInterval is the interval at which the readers are queried.
+	syncInterval = 500 * clock.Millisecond
+	// directSpan is how long an instance reads the store itself after its queries have failed.
+	directSpan = 2 * clock.Second
+	// startupPatience is how long a new instance waits for the list of another one instead of reading
+	// all pages of a long list, and startupRetry the interval between two queries meanwhile.
+	startupPatience = 1500 * clock.Millisecond
+	startupRetry    = 50 * clock.Millisecond
+	// discoveryTime is how long a new instance waits to learn of others before it decides that it has
+	// to read a long list.
+	discoveryTime = 250 * clock.Millisecond
+	// maxWholeTransfers bounds the whole lists that are sent at the same time, so that new instances
+	// spread over all that have the list.
+	maxWholeTransfers = 4
+	// outageInterval is the interval between two queries to any instance while the store does not
+	// answer, and outageSilence the time without an answer before the first query.
+	outageInterval = 500 * clock.Millisecond
+	outageSilence  = 1200 * clock.Millisecond
+	// maxOutageAge bounds the age of data that is taken from another instance during an outage.
+	maxOutageAge = 5 * clock.Minute
+	// syncTimeout bounds one query, maxSyncBytes its response.
+	syncTimeout  = 800 * clock.Millisecond
+	maxSyncBytes = 16 << 20
+)
+
+// ageLimits are the maximum ages of the data that are taken from another instance.
+type ageLimits struct {
+	list    clock.Span
+	control clock.Span
+}
+
+// syncResponse is the response to a query of another instance.
+type syncResponse struct {
+	List listDelta
+	// Control is the configuration if it is newer than that of the other instance.
+	Control map[string]store.Item
+	// ControlRevision and ControlAge describe the newest configuration.
+	ControlRevision store.Revision
+	ControlAge      clock.Span
+}
+
+// freshLimits returns the maximum ages of data that are as good as those of the store.
+func (s *Server) freshLimits() ageLimits {
+	return ageLimits{list: boundOrDefault(s.settings.ListBound) / dataAgeDivisor, control: boundOrDefault(s.settings.ControlBound) / dataAgeDivisor}
+}
+
+// regionPeers returns the other instances of this region that are ready.
+func (s *Server) regionPeers() []mesh.Record {
+	return slices.DeleteFunc(s.node.Alive(), func(r mesh.Record) bool { return r.Region != s.settings.Region })
+}
+
+// storeReaders returns the instances of the region that read the store, as far as this one knows.
+func (s *Server) storeReaders(peers []mesh.Record) []ident.Entry {
+	names := []ident.Entry{s.settings.Name}
+	for _, r := range peers {
+		names = append(names, r.Name)
+	}
+	return watch.Watchers("list", names, storeReaderCount)
+}
+
+// readsStore reports whether this instance reads the store itself now.
+func (s *Server) readsStore() bool {
+	return s.clock.Now().Before(clock.Time(s.directUntil.Load())) || slices.Contains(s.storeReaders(s.regionPeers()), s.settings.Name)
+}
+
+// followList keeps the list of endpoints up to date: by reading the store, or by querying an
+// instance that does, which also tells changes of the configuration.
+func (s *Server) followList(ctx context.Context, follower *store.Follower) {
+	for ctx.Err() == nil {
+		switch {
+		case !s.state.listed.Load():
+			s.fetchFirstList(ctx, follower)
+		case s.readsStore():
+			follower.Resume(s.state.listRevision())
+			follower.Step(ctx)
+		case s.syncWithReaders(ctx):
+			clock.Sleep(ctx, syncInterval)
+		default:
+			s.directUntil.Store(int64(s.clock.Now().Add(directSpan)))
+		}
+	}
+}
+
+// fetchFirstList gets the list from another instance, if there is one, or from the store.
+func (s *Server) fetchFirstList(ctx context.Context, follower *store.Follower) {
+	peers := s.regionPeers()
+	if len(peers) == 0 || s.clock.Now().Sub(s.started) > startupPatience {
+		follower.Step(ctx)
+		return
+	}
+	if !s.syncFrom(ctx, peers[s.randomUint64()%uint64(len(peers))], s.freshLimits()) {
+		clock.Sleep(ctx, startupRetry)
+	}
+}
+
+// continueFirstRead reports whether a new instance must read all pages of a long list from the
+// store. It waits until others are known.
+func (s *Server) continueFirstRead(ctx context.Context) bool {
+	for ctx.Err() == nil && !s.state.listed.Load() {
+		elapsed := s.clock.Now().Sub(s.started)
+		switch {
+		case elapsed > startupPatience:
+			return true
+		case len(s.regionPeers()) > 0:
+			return false
+		case elapsed > discoveryTime && slices.Contains(s.storeReaders(s.node.StartingInRegion()), s.settings.Name):
+			return true
+		}
+		clock.Sleep(ctx, startupRetry)
+	}
+	return ctx.Err() == nil
+}
+
+// followControl keeps the configuration up to date while this instance reads the store.
+func (s *Server) followControl(ctx context.Context, follower *store.Follower) {
+	for ctx.Err() == nil {
+		if s.state.table.Load() != nil && !s.readsStore() {
+			clock.Sleep(ctx, syncInterval/2)
+			continue
+		}
+		follower.Resume(s.state.controlRevision())
+		follower.Step(ctx)
+	}
+}
+
+// syncWithReaders queries a reader of the store and, if that fails, another one. It reports whether
+// the data are as fresh as those of the store.
+func (s *Server) syncWithReaders(ctx context.Context) bool {
+	peers := s.regionPeers()
+	readers := s.storeReaders(peers)
+	first := int(s.randomUint64() % uint64(len(readers)))
+	for n := range min(2, len(readers)) {
+		name := readers[(first+n)%len(readers)]
+		index := slices.IndexFunc(peers, func(r mesh.Record) bool { return r.Name == name })
+		if index >= 0 && s.syncFrom(ctx, peers[index], s.freshLimits()) {
+			s.state.recordAnswer()
+			return true
+		}
+	}
+	return false
+}
+
+// syncDuringOutage queries any instance if neither the store nor a reader of it has answered
+// recently.
+func (s *Server) syncDuringOutage(ctx context.Context) {
+	if s.clock.Now().Sub(s.state.lastAnswer()) >= outageSilence {
+		s.syncWithAny(ctx)
+	}
+}
+
+func (s *Server) syncWithAny(ctx context.Context) {
+	alive := s.node.Alive()
+	if len(alive) > 0 {
+		s.syncFrom(ctx, alive[s.randomUint64()%uint64(len(alive))], ageLimits{maxOutageAge, maxOutageAge})
+	}
+}
+
+// syncFrom queries an instance, applies what is newer and reports whether the data are within the
+// age limits.
+func (s *Server) syncFrom(ctx context.Context, peer mesh.Record, limits ageLimits) bool {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout.Duration())
+	defer cancel()
+	var received syncResponse
+	err := s.query(ctx, peer.Hop, s.state.syncURI(), &received)
+	if err == nil && (received.List.Age > limits.list || received.ControlAge > limits.control || received.List.Age < 0 || received.ControlAge < 0) {
+		err = fault.Newf("sync", KindPeerResponse, "list is %s old, configuration %s", received.List.Age, received.ControlAge)
+	}
+	if err != nil {
+		s.log.Info("querying store data from another instance failed", zap.String("of", string(peer.Name)), zap.Error(err))
+		return false
+	}
+	s.state.applySync(received)
+	return true
+}
+
+// query sends a request to another instance and decodes the response.
+func (s *Server) query(ctx context.Context, address, uri string, into any) error {
+	response, err := s.state.relay(address).Do(ctx, &relay.Request{
+		Method: http.MethodGet, URI: uri, Host: address, Header: http.Header{},
+	}, repeatableConnIdle)
+	if err != nil {
+		return err
+	}
+	defer response.Close()
+	data, err := response.ReadAll(maxSyncBytes)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fault.Newf("query", KindPeerResponse, "status %d", response.StatusCode)
+	}
+	return msgpack.Unmarshal(data, into)
+}
+
+// syncQuery is a query of another instance.
+type syncQuery struct {
+	list    store.Revision
+	control store.Revision
+	// digests is nil unless the lists have been found to differ.
+	digests *digests
+}
+
+func (q syncQuery) uri() string {
+	uri := syncPath + strconv.FormatInt(int64(q.list), 10) + "/" + strconv.FormatInt(int64(q.control), 10)
+	if q.digests == nil {
+		return uri
+	}
+	encoded := make([]byte, 0, 8*digestBuckets)
+	for _, n := range q.digests {
+		encoded = append(encoded, byte(n>>56), byte(n>>48), byte(n>>40), byte(n>>32), byte(n>>24), byte(n>>16), byte(n>>8), byte(n))
+	}
+	return uri + "/" + hex.EncodeToString(encoded)
+}
+
+// parseSyncQuery parses the URI of a query.
+func parseSyncQuery(uri string) (query syncQuery, err error) {
+	fields := strings.Split(strings.TrimPrefix(uri, syncPath), "/")
+	if len(fields) < 2 || len(fields) > 3 {
+		return query, fault.Newf("sync", KindInvalid, "query has %d fields", len(fields))
+	}
+	list, err := strconv.ParseInt(fields[0], 10, 64)
+	if err != nil {
+		return query, fault.Wrap("sync", KindInvalid, err)
+	}
+	control, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return query, fault.Wrap("sync", KindInvalid, err)
+	}
+	query.list, query.control = store.Revision(list), store.Revision(control)
+	if len(fields) == 2 {
+		return query, nil
+	}
+	encoded, err := hex.DecodeString(fields[2])
+	if err != nil || len(encoded) != 8*digestBuckets {
+		return query, fault.Newf("sync", KindInvalid, "malformed digests")
+	}
+	query.digests = new(digests)
+	for i, b := range encoded {
+		query.digests[i/8] = query.digests[i/8]<<8 | uint64(b)
+	}
+	return query, nil
+}
+
+// serveSync answers a query of another instance.
+func (s *Server) serveSync(w http.ResponseWriter, r *http.Request) {
+	query, err := parseSyncQuery(r.RequestURI)
+	if err != nil {
+		s.log.Warn("malformed query of another instance", zap.Error(err))
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	response, whole := s.state.syncResponse(query)
+	if whole {
+		if s.wholeTransfers.Add(1) > maxWholeTransfers {
+			s.wholeTransfers.Add(-1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer s.wholeTransfers.Add(-1)
+	}
+	data, err := msgpack.Marshal(response)
+	if err != nil {
+		s.log.Error("encoding response to another instance failed", zap.Error(err))
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	s.metrics.syncBytes.Inc(int64(len(data)))
+	_, _ = w.Write(data) // an error only means that the instance has disconnected
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -155,6 +155,9 @@
 // Alive returns the other instances that are reachable and ready.
 func (n *Node) Alive() []Record { return withTable(n, (*Table).Alive) }
 
+// StartingInRegion returns the other instances of this region that have no configuration yet.
+func (n *Node) StartingInRegion() []Record { return withTable(n, (*Table).StartingInRegion) }
+
 // Leaving returns the instances that have recently started to leave.
 func (n *Node) Leaving() []Record { return withTable(n, (*Table).Leaving) }
 
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -377,21 +377,26 @@
 }
 
 // Alive returns the other instances that are reachable and ready, sorted by name.
-func (t *Table) Alive(now clock.Time) (records []Record) {
-	for _, p := range t.peers {
-		if t.alive(now, p) && p.State == Ready {
-			records = append(records, p.Record)
-		}
-	}
-	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
-	return records
+func (t *Table) Alive(now clock.Time) []Record {
+	return t.filter(func(p *peer) bool { return p.State == Ready && t.alive(now, p) })
+}
+
+// StartingInRegion returns the other instances of this region that have no configuration yet,
+// sorted by name.
+func (t *Table) StartingInRegion(now clock.Time) []Record {
+	return t.filter(func(p *peer) bool { return p.State == Starting && p.Region == t.self.Region && t.alive(now, p) })
 }
 
 // Leaving returns the instances that have recently started to leave, sorted by name. Each of them
 // is replaced at its address within seconds.
-func (t *Table) Leaving(now clock.Time) (records []Record) {
+func (t *Table) Leaving(now clock.Time) []Record {
+	return t.filter(func(p *peer) bool { return p.State >= Leaving && now.Sub(p.counterSeen) < replacementWindow })
+}
+
+// filter returns the records of the peers for which fits returns true, sorted by name.
+func (t *Table) filter(fits func(*peer) bool) (records []Record) {
 	for _, p := range t.peers {
-		if p.State >= Leaving && now.Sub(p.counterSeen) < replacementWindow {
+		if fits(p) {
 			records = append(records, p.Record)
 		}
 	}
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -23,6 +23,9 @@
 	Info
 	// delisted reports whether the endpoint has been removed from the published list.
 	delisted bool
+	// unlisted reports whether the endpoint is kept although the list, after an outage, does not have
+	// it.
+	unlisted bool
 	// missingSince is when the endpoint was removed from the list; 0 if it is listed.
 	missingSince clock.Time
 	// coldUntil is when the endpoint stops being cold.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -39,6 +39,8 @@
 	// graceUntil is the time until which endpoints that are missing from the list after an outage
 	// are kept.
 	graceUntil clock.Time
+	// unlisted is the number of endpoints that are kept although the list doesn't have them.
+	unlisted int
 	// members are the instances of the region that divide cold endpoints and connections among
 	// themselves, including this one.
 	members []ident.Entry
@@ -91,10 +93,7 @@
 // missing shortly after an outage of the list are kept for delistGrace, since their entries may
 // have expired during the outage.
 func (p *Pool) Sync(now, read clock.Time, list []Info) (changes []Change) {
-	if p.lastListed > 0 && read.Sub(p.lastListed) > minListOutage {
-		p.graceUntil = read.Add(delistGrace)
-	}
-	p.lastListed = read
+	p.recordListed(read)
 	seen := make(map[ident.Endpoint]bool, len(list))
 	for _, i := range list {
 		seen[i.ID] = true
@@ -102,6 +101,7 @@
 			changes = append(changes, Change{i.ID, i.Service, change})
 		}
 	}
+	p.unlisted = 0
 	for id, e := range p.endpoints {
 		if seen[id] {
 			continue
@@ -114,8 +114,33 @@
 	return changes
 }
 
-// ConfirmList records that the list was still current when it was read at the given time.
-func (p *Pool) ConfirmList(read clock.Time) { p.lastListed = max(p.lastListed, read) }
+// ConfirmList records that the list was still current at the given time. It returns the endpoints
+// that were kept after an outage and are still missing after delistGrace.
+func (p *Pool) ConfirmList(now, read clock.Time) (changes []Change) {
+	p.recordListed(read)
+	if p.unlisted == 0 {
+		return nil
+	}
+	p.unlisted = 0
+	for id, e := range p.endpoints {
+		if !e.unlisted {
+			continue
+		}
+		if kind := p.markMissing(now, e); kind != "" {
+			changes = append(changes, Change{id, e.Service, kind})
+		}
+	}
+	p.rebuildIndex()
+	return changes
+}
+
+// recordListed records when the list was current and whether that ends an outage of the list.
+func (p *Pool) recordListed(read clock.Time) {
+	if p.lastListed > 0 && read.Sub(p.lastListed) > minListOutage {
+		p.graceUntil = read.Add(delistGrace)
+	}
+	p.lastListed = max(p.lastListed, read)
+}
 
 func (p *Pool) syncEndpoint(now clock.Time, info Info) string {
 	known := p.endpoints[info.ID]
@@ -142,7 +167,7 @@
 	}
 	// An endpoint that is leaving stays so even if an older entry is read afterwards.
 	info.Leaving = info.Leaving || known.Leaving && known.Incarnation == info.Incarnation && !known.delisted
-	known.Info, known.delisted, known.missingSince = info, false, 0
+	known.Info, known.delisted, known.unlisted, known.missingSince = info, false, false, 0
 	if info.ColdRemaining > 0 {
 		known.coldUntil = now.Add(info.ColdRemaining)
 	}
@@ -157,9 +182,11 @@
 		}
 		return ""
 	case now.Before(p.graceUntil):
+		missing.unlisted = true
+		p.unlisted++
 		return ""
 	default:
-		missing.delisted, missing.missingSince = true, now
+		missing.delisted, missing.unlisted, missing.missingSince = true, false, now
 		missing.cache.clear()
 		return "gone"
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -101,6 +101,21 @@
 	require.False(t, ok, "still not listed after the grace period")
 }
 
+// Guards against an absent endpoint that stays in use because the list does not change again after
+// the outage.
+func TestAbsenceIsNoticedWithoutAnotherChange(t *testing.T) {
+	p := newPool(info("a"))
+	back := start.Add(6 * clock.Second)
+	p.Sync(back, back, nil)
+	require.Empty(t, p.ConfirmList(back.Add(1000), back.Add(1000)))
+	_, ok := choose(p, back.Add(1000), plainRequest)
+	require.True(t, ok, "the entry may have expired during the outage")
+	later := back.Add(2400)
+	require.Equal(t, []pool.Change{{Endpoint: "a", Service: "s", Kind: "gone"}}, p.ConfirmList(later, later))
+	_, ok = choose(p, later, plainRequest)
+	require.False(t, ok, "still not listed after the grace period")
+}
+
 // Guards against requests to an endpoint after a broken connection, before a health check shows
 // that it is healthy and still the same one.
 func TestSuspectNeedsCheck(t *testing.T) {
--- a/store/doc.go
+++ b/store/doc.go
@@ -1,10 +1,10 @@
-// Package store follows the content that a key-value store publishes. It only reads: whole
-// prefixes by polling, or a prefix and its changes by watching. Reader abstracts the calls to the
-// store.
+// Package store follows the content that a key-value store publishes. It only reads: a whole prefix
+// and then its changes by watching. Reader abstracts the calls to the store.
 package store
 
 import (
 	"context"
+	"maps"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
@@ -70,10 +70,42 @@
 	Watch(ctx context.Context, prefix string, after Revision, wait clock.Span) (Changes, error)
 }
 
+// Update is what one call to the store has shown: the whole content under a prefix, or the changes
+// since the update before. An update without changes confirms the content.
+type Update struct {
+	// Whole reports whether Items is the whole content.
+	Whole   bool
+	Items   []Item
+	Deleted []string
+	// Revision is the revision from which further changes count.
+	Revision Revision
+	// Read is the time as of which the content is complete.
+	Read clock.Time
+}
+
 // Snapshot is the content under a prefix at one point in time.
 type Snapshot struct {
 	Items    map[string]Item
 	Revision Revision
-	// Started is when the read of the content began.
-	Started clock.Time
+	// Read is the time as of which the content is complete.
+	Read clock.Time
+}
+
+// Apply returns the snapshot after an update. An update that is older than the snapshot has no
+// effect.
+func (s Snapshot) Apply(update Update) Snapshot {
+	if update.Revision < s.Revision {
+		return s
+	}
+	next := Snapshot{Items: make(map[string]Item, len(s.Items)), Revision: update.Revision, Read: update.Read}
+	if !update.Whole {
+		maps.Copy(next.Items, s.Items)
+	}
+	for _, key := range update.Deleted {
+		delete(next.Items, key)
+	}
+	for _, i := range update.Items {
+		next.Items[i.Key] = i
+	}
+	return next
 }
--- a/store/follow.go
+++ b/store/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
@@ -26,20 +25,27 @@
 	Prefix string
 	// Interval is the time between two reads of the whole prefix.
 	Interval clock.Span
-	// WatchTimeout is the longest time that one watch call waits; 0 selects polling without a watch.
+	// WatchTimeout is the longest time that one watch call waits.
 	WatchTimeout clock.Span
-	// OnChange is called with each new snapshot. It must not modify the snapshot.
-	OnChange func(Snapshot)
+	// OnUpdate is called after each successful read or watch call.
+	OnUpdate func(Update)
 	// OnResult is called with the error of each failed call, and with nil for the first successful
 	// call after a failure.
 	OnResult func(error)
+	// ContinueRead is called once per read if there is more than one page. If it returns false, the
+	// read is abandoned. It may be nil.
+	ContinueRead func(context.Context) bool
 }
 
-// Follower tracks the content under one prefix.
+// Follower tracks the content under one prefix. It is not safe for concurrent use.
 type Follower struct {
 	config  Config
 	backoff clock.Span
 	failing bool
+	// revision is the revision from which to watch; 0 if the prefix has to be read.
+	revision Revision
+	// seen is the newest revision seen; content up to it may have been lost from the history.
+	seen Revision
 	// lastRead is when the last read of the whole prefix began.
 	lastRead clock.Time
 }
@@ -50,85 +56,98 @@
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		snapshot, ok := f.ReadOnce(ctx)
-		switch {
-		case !ok:
-		case f.config.WatchTimeout == 0:
-			clock.Sleep(ctx, jitter(f.config.Interval))
-		default:
-			f.watch(ctx, snapshot)
-		}
+		f.Step(ctx)
 	}
 }
 
-// ReadOnce reads the whole prefix and passes it to Config.OnChange. After a failure it waits for
-// the backoff and returns false.
-func (f *Follower) ReadOnce(ctx context.Context) (Snapshot, bool) {
-	snapshot, err := f.readAll(ctx)
+// Resume continues from content that was obtained elsewhere as of a revision, if that is newer than
+// what the Follower has seen.
+func (f *Follower) Resume(revision Revision) {
+	if revision > f.seen {
+		f.revision, f.seen, f.lastRead = revision, revision, f.config.Clock.Now()
+	}
+}
+
+// Step makes one watch call, or reads the whole prefix if that is due: at first, after a loss of
+// history and once per interval. After a failure it waits for the backoff.
+func (f *Follower) Step(ctx context.Context) {
+	var update Update
+	var err error
+	if f.revision == 0 || f.config.Clock.Now().Sub(f.lastRead) >= f.config.Interval {
+		var complete bool
+		update, complete, err = f.readAll(ctx)
+		if err == nil && !complete {
+			return
+		}
+	} else {
+		update, err = f.watch(ctx)
+	}
 	if !f.handleResult(ctx, err) {
-		return snapshot, false
+		return
 	}
-	f.config.OnChange(snapshot)
-	return snapshot, true
+	f.revision = max(f.revision, update.Revision)
+	f.seen = max(f.seen, f.revision)
+	f.config.OnUpdate(update)
 }
 
-// readAll reads the whole prefix, page by page. Errors are of type *Error.
-func (f *Follower) readAll(ctx context.Context) (Snapshot, error) {
-	f.lastRead = f.config.Clock.Now()
-	snapshot := Snapshot{Items: make(map[string]Item), Started: f.lastRead}
+// readAll reads the whole prefix, page by page. Pages are not a snapshot; the watch repeats the
+// changes that occur during the read. complete is false if the read was abandoned. Errors are of
+// type *Error.
+func (f *Follower) readAll(ctx context.Context) (update Update, complete bool, err error) {
+	update = Update{Whole: true, Read: f.config.Clock.Now()}
 	after := ""
-	for range maxPages {
+	for n := range maxPages {
 		call, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 		page, err := f.config.Reader.Range(call, f.config.Prefix, after)
 		cancel()
 		if err != nil {
-			return snapshot, err
+			return update, false, err
 		}
-		if snapshot.Revision == 0 {
-			snapshot.Revision = page.Revision // the watch repeats changes that occur during the read
-		}
-		for _, i := range page.Items {
-			snapshot.Items[i.Key] = i
+		if n == 0 {
+			update.Revision = page.Revision
 		}
+		update.Items = append(update.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			return snapshot, nil
+			f.lastRead = update.Read
+			return update, true, nil
+		}
+		if n == 0 && f.config.ContinueRead != nil && !f.config.ContinueRead(ctx) {
+			return update, false, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	return snapshot, fault.Newf("read", KindMalformed, "more than %d pages", maxPages)
+	return update, false, fault.Newf("read", KindMalformed, "more than %d pages", maxPages)
 }
 
-// watch applies changes until the prefix has to be read again: after an error, after a loss of
-// history and once per interval, since a watch may miss a change.
-func (f *Follower) watch(ctx context.Context, snapshot Snapshot) {
-	for ctx.Err() == nil && f.config.Clock.Now().Sub(f.lastRead) < f.config.Interval {
-		call, cancel := context.WithTimeout(ctx, (f.config.WatchTimeout + callTimeout).Duration())
-		started := f.config.Clock.Now()
-		changes, err := f.config.Reader.Watch(call, f.config.Prefix, snapshot.Revision, f.config.WatchTimeout)
-		cancel()
-		if !f.handleResult(ctx, err) {
-			return
-		}
-		if len(changes.Events) == 0 {
-			snapshot.Revision = max(snapshot.Revision, changes.Revision)
-			continue
+// watch returns the changes since the last update. If the store held the call for its whole wait,
+// nothing had changed until the end of that.
+func (f *Follower) watch(ctx context.Context) (Update, error) {
+	call, cancel := context.WithTimeout(ctx, (f.config.WatchTimeout + callTimeout).Duration())
+	defer cancel()
+	started := f.config.Clock.Now()
+	changes, err := f.config.Reader.Watch(call, f.config.Prefix, f.revision, f.config.WatchTimeout)
+	if err != nil {
+		if fault.KindOf[Kind](err) == KindCompacted {
+			f.revision = 0
 		}
-		snapshot = snapshot.apply(changes, started)
-		f.config.OnChange(snapshot)
+		return Update{}, err
 	}
-}
-
-func (s Snapshot) apply(changes Changes, started clock.Time) Snapshot {
-	next := Snapshot{Items: make(map[string]Item, len(s.Items)), Revision: max(s.Revision, changes.Revision), Started: started}
-	maps.Copy(next.Items, s.Items)
+	update := Update{Revision: max(f.revision, changes.Revision), Read: started}
+	if f.config.Clock.Now().Sub(started) >= f.config.WatchTimeout {
+		update.Read = started.Add(f.config.WatchTimeout)
+	}
+	last := make(map[string]Event, len(changes.Events))
 	for _, e := range changes.Events {
+		last[e.Key] = e
+	}
+	for _, e := range last {
 		if e.Deleted {
-			delete(next.Items, e.Key)
+			update.Deleted = append(update.Deleted, e.Key)
 			continue
 		}
-		next.Items[e.Key] = e.Item
+		update.Items = append(update.Items, e.Item)
 	}
-	return next
+	return update, nil
 }
 
 // handleResult reports whether a call succeeded. It notifies Config.OnResult and waits for the
