feat(gate): contain panics and bound slow callers

Cause: a panic in a background task or while a datagram was processed ended the process, one in a request closed the caller's connection without an answer and kept the endpoint's place. A caller that does not read its response held the endpoint for good. Change: a panic ends the current datagram, call or request only; it is logged with its stack and counted, and the request is answered with an unknown outcome. Reading a request and writing a response end 1 s after the request's time limit; bodies of unknown length reserve memory as they grow.

--- a/gate/front.go
+++ b/gate/front.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/bundle"
@@ -22,6 +25,13 @@
 	defaultBodyBytes  = 256 << 20
 	// maxDiscardBytes bounds how much of a rejected body is read.
 	maxDiscardBytes = 8 << 20
+	// bodyStepBytes is the size of the reservations for a body whose length is not known.
+	bodyStepBytes = 64 << 10
+	// transferMargin is how long after the end of its time limit a request may still be read and its
+	// response be written.
+	transferMargin = 1 * clock.Second
+	// refusalTransfer is the same for a request that is refused at once.
+	refusalTransfer = 5 * clock.Second
 	// memoryRetryAfter is when a caller is asked to retry if the instance lacks memory for the
 	// body.
 	memoryRetryAfter = 500 * clock.Millisecond
@@ -43,6 +53,7 @@
 	s.metrics.active.Inc(1)
 	defer s.metrics.active.Dec(1)
 	arrived := s.clock.Now()
+	s.boundTransfer(w, refusalTransfer)
 	if hopped {
 		s.protocol.SetAttemptID(w.Header(), s.protocol.RequestMeta(r.Header).AttemptID)
 	}
@@ -65,15 +76,45 @@
 	request := s.newInflight(w, r, table, route, arrived)
 	request.hopped = hopped
 	defer request.release()
+	s.boundTransfer(w, request.remaining())
 	if !request.readBody(table.Bounds.BodyBytes) {
 		return
 	}
 	request.fingerprint = fingerprint(r.Host, r.RequestURI, request.body)
 	ctx, cancel := context.WithTimeout(r.Context(), request.remaining().Duration())
 	defer cancel()
+	defer request.containPanic()
 	request.run(ctx)
 }
 
+// containPanic ends a panic while the request was processed. Since the request may have run, the
+// caller is told that its outcome is unknown.
+func (f *inflight) containPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler { //nolint:errorlint // net/http compares the value too
+		panic(cause)
+	}
+	f.server.metrics.panics.Inc(1)
+	f.server.log.Error("panic", zap.String("request", f.meta.AttemptID), zap.String("cause", fmt.Sprint(cause)), zap.Stack("stack"))
+	f.fail(http.StatusBadGateway, "internal error")
+}
+
+// boundTransfer limits the time for reading the request and writing the response, so that a caller
+// that sends or reads slowly holds nothing for longer than its request may take. Each request sets
+// it anew, since the limits stay on the connection.
+func (s *Server) boundTransfer(w http.ResponseWriter, limit clock.Span) {
+	control := http.NewResponseController(w)
+	end := time.Now().Add((limit + transferMargin).Duration())
+	for _, err := range []error{control.SetReadDeadline(end), control.SetWriteDeadline(end)} {
+		if err != nil {
+			s.log.Debug("setting the caller's deadline failed", zap.Error(err))
+		}
+	}
+}
+
 // refuseUnready refuses a request that this instance cannot accept now.
 func (s *Server) refuseUnready(w http.ResponseWriter, r *http.Request, reason string) {
 	attempt := s.protocol.RequestMeta(r.Header).AttemptID
@@ -123,16 +164,22 @@
 	}
 	var body bytes.Buffer
 	body.Grow(int(size) + bytes.MinRead)
-	if _, err := body.ReadFrom(io.LimitReader(f.request.Body, limit+1)); err != nil {
-		f.reject(http.StatusBadRequest, "body can't be read")
-		return false
-	}
-	if int64(body.Len()) > limit {
-		f.reject(http.StatusRequestEntityTooLarge, "body is too large")
-		return false
+	for {
+		n, err := body.ReadFrom(io.LimitReader(f.request.Body, max(size, bodyStepBytes)))
+		switch {
+		case err != nil:
+			f.reject(http.StatusBadRequest, "body can't be read")
+			return false
+		case int64(body.Len()) > limit:
+			f.reject(http.StatusRequestEntityTooLarge, "body is too large")
+			return false
+		case !f.reserve(max(0, int64(body.Len())-f.reservedBytes)):
+			return false
+		case n < max(size, bodyStepBytes):
+			f.body = body.Bytes()
+			return true
+		}
 	}
-	f.body = body.Bytes()
-	return f.reserve(int64(body.Len()) - size)
 }
 
 // reserve reserves memory for the body. If there is not enough, it refuses the request and returns
@@ -147,7 +194,7 @@
 		return true
 	}
 	// A response sent before the end of the body would be lost when the connection is reset.
-	if _, err := io.Copy(io.Discard, f.request.Body); err != nil {
+	if _, err := io.CopyN(io.Discard, f.request.Body, maxDiscardBytes); err != nil && !errors.Is(err, io.EOF) {
 		f.finish("left", 0)
 		return false
 	}
--- a/gate/health.go
+++ b/gate/health.go
@@ -9,6 +9,7 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/logs"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 	"github.com/tanagerbridge/tanagerbridge/relay"
 )
@@ -30,6 +31,7 @@
 }
 
 func (s *Server) checkEndpoint(ctx context.Context, info pool.Info) {
+	defer logs.RecoverPanic(s.log, "health check", s.countPanic)
 	table := s.state.table.Load()
 	if table == nil {
 		return
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -267,6 +267,7 @@
 	f.sends++
 	ctx, current.cancel = context.WithCancelCause(ctx)
 	defer current.cancel(nil)
+	defer current.recordEnd(pool.Cancelled) // has no effect unless the send was left by a panic
 	current.startFirstByteTimer()
 	response, err := f.server.state.relay(address).Do(ctx, f.endpointRequest(current, forward), f.maxConnIdle())
 	if err != nil {
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -22,15 +22,19 @@
 	connections   gometrics.Counter
 	storeFailures gometrics.Counter
 	active        gometrics.Counter
+	// panics counts the panics that were contained.
+	panics gometrics.Counter
 	// syncBytes counts the bytes of store data that are sent to other instances.
 	syncBytes gometrics.Counter
+	// meshBytes counts the bytes of datagrams that are sent to other instances.
+	meshBytes gometrics.Counter
 }
 
 func newMetrics(registry gometrics.Registry) *metrics {
 	counter := func(name string) gometrics.Counter { return gometrics.NewRegisteredCounter(name, registry) }
 	return &metrics{
 		registry: registry, connections: counter("endpoint.connections"), storeFailures: counter("store.failures"),
-		active: counter("requests.active"), syncBytes: counter("sync.bytes"),
+		active: counter("requests.active"), syncBytes: counter("sync.bytes"), panics: counter("panics"), meshBytes: counter("mesh.bytes"),
 	}
 }
 
--- a/gate/server.go
+++ b/gate/server.go
@@ -18,6 +18,7 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/logs"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 	"github.com/tanagerbridge/tanagerbridge/store"
@@ -46,6 +47,8 @@
 	// storeGrace how long the store may take to answer before other instances are queried.
 	startupPollInterval = 20 * clock.Millisecond
 	storeGrace          = 200 * clock.Millisecond
+	// panicPause is the pause of a background task after a panic.
+	panicPause = 500 * clock.Millisecond
 	// maintainInterval is the interval between two maintenance rounds.
 	maintainInterval = time.Second
 )
@@ -194,6 +197,7 @@
 			Hop: net.JoinHostPort(s.settings.IP, strconv.Itoa(s.settings.HopPort)),
 		},
 		Seeds: s.settings.Seeds, Clock: s.clock, Log: s.log, Seed: config.Seed, Facts: s.state.facts, OnFacts: s.state.applyFacts,
+		OnPanic: s.countPanic, OnSent: func(bytes int) { s.metrics.meshBytes.Inc(int64(bytes)) },
 	})
 	if err != nil {
 		return err
@@ -214,8 +218,8 @@
 		WatchTimeout: boundOrDefault(s.settings.ControlBound) / watchDivisor,
 		OnUpdate:     s.state.applyOwnControl, OnResult: s.state.storeResultHandler("control"),
 	})
-	s.tasks.Go(func() { s.followList(ctx, list) })
-	s.tasks.Go(func() { s.followControl(ctx, control) })
+	s.tasks.Go(func() { s.repeat(ctx, "list", func() { s.followList(ctx, list) }) })
+	s.tasks.Go(func() { s.repeat(ctx, "control", func() { s.followControl(ctx, control) }) })
 	s.tasks.Go(func() { runEvery(ctx, checkInterval.Duration(), s.startHealthChecks) })
 	s.tasks.Go(func() { runEvery(ctx, maintainInterval, s.maintain) })
 	s.tasks.Go(func() {
@@ -239,6 +243,20 @@
 	}
 }
 
+// repeat calls fn until ctx ends. A panic, such as one caused by malformed data, ends only the
+// current call.
+func (s *Server) repeat(ctx context.Context, task string, fn func()) {
+	for ctx.Err() == nil {
+		func() {
+			defer logs.RecoverPanic(s.log, task, s.countPanic)
+			fn()
+		}()
+		clock.Sleep(ctx, panicPause)
+	}
+}
+
+func (s *Server) countPanic() { s.metrics.panics.Inc(1) }
+
 func boundOrDefault(bound clock.Span) clock.Span {
 	if bound == 0 {
 		return defaultPropagationBound
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -13,6 +13,7 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/logs"
 )
 
 // Config holds the settings and callbacks of a Node.
@@ -26,6 +27,10 @@
 	Facts func() Facts
 	// OnFacts is called with the facts that another instance reports.
 	OnFacts func(from Record, facts Facts)
+	// OnPanic is called after a panic while a datagram was processed; it may be nil.
+	OnPanic func()
+	// OnSent is called with the size of each datagram sent; it may be nil.
+	OnSent func(bytes int)
 }
 
 // Node sends and receives the messages of one instance. It is safe for concurrent use.
@@ -91,21 +96,27 @@
 			}
 			continue
 		}
-		var message Message
-		if err := msgpack.Unmarshal(buffer[:size], &message); err != nil {
-			n.config.Log.Warn("malformed datagram", zap.Error(err))
-			continue
-		}
-		accepted := false
-		replies := withTable(n, func(t *Table, now clock.Time) []OutgoingMessage {
-			accepted = t.Accepts(message)
-			return t.Receive(now, message)
-		})
-		if accepted {
-			n.config.OnFacts(message.From, message.Facts)
-		}
-		n.send(replies)
+		n.handle(buffer[:size])
+	}
+}
+
+// handle processes one datagram. A panic ends only that.
+func (n *Node) handle(datagram []byte) {
+	defer logs.RecoverPanic(n.config.Log, "datagram", n.config.OnPanic)
+	var message Message
+	if err := msgpack.Unmarshal(datagram, &message); err != nil {
+		n.config.Log.Warn("malformed datagram", zap.Error(err))
+		return
+	}
+	accepted := false
+	replies := withTable(n, func(t *Table, now clock.Time) []OutgoingMessage {
+		accepted = t.Accepts(message)
+		return t.Receive(now, message)
+	})
+	if accepted {
+		n.config.OnFacts(message.From, message.Facts)
 	}
+	n.send(replies)
 }
 
 // Encode returns the bytes of a datagram. Structs are encoded as arrays, which takes half the
@@ -123,6 +134,11 @@
 func (n *Node) send(messages []OutgoingMessage) {
 	for _, l := range messages {
 		data, err := Encode(l.Message)
+		if err == nil && len(data) > maxDatagramBytes {
+			// Membership must not depend on how much there is to report.
+			l.Message.Facts, l.Message.Records = Facts{}, nil
+			data, err = Encode(l.Message)
+		}
 		if err != nil || len(data) > maxDatagramBytes {
 			n.config.Log.Warn("message not sent: encoding failed or datagram too large", zap.Int("bytes", len(data)), zap.Error(err))
 			continue
@@ -134,6 +150,9 @@
 		}
 		// A lost datagram is superseded by the next round.
 		_, _ = n.socket.WriteToUDP(data, address)
+		if n.config.OnSent != nil {
+			n.config.OnSent(len(data))
+		}
 	}
 }
 
