feat(gate): let new instances take the first list from others

Cause: after a loss of all instances each one read all pages of the list at the same time. Change: the seeds, and three others of a region once the instances know each other, read the store first; the rest take the list and the configuration from one that has them, which sends at most four whole lists at a time. Only after 2 to 4 s without that does an instance read the store itself. A watch call follows at least 100 ms after one that returned changes, since endpoints register one by one.

--- a/gate/server.go
+++ b/gate/server.go
@@ -44,9 +44,9 @@
 	// checkInterval is the interval between two checks for due health checks.
 	checkInterval = 50 * clock.Millisecond
 	// startupPollInterval is the interval at which a new instance checks whether it can serve, and
-	// storeGrace how long the store may take to answer before other instances are queried.
+	// storeGrace how long the store may take to answer before any other instance is queried.
 	startupPollInterval = 20 * clock.Millisecond
-	storeGrace          = 200 * clock.Millisecond
+	storeGrace          = 500 * clock.Millisecond
 	// panicPause is the pause of a background task after a panic.
 	panicPause = 500 * clock.Millisecond
 	// maintainInterval is the interval between two maintenance rounds.
@@ -69,8 +69,10 @@
 	lastArrival atomic.Int64
 	// bodyBytes is the memory reserved for request bodies.
 	bodyBytes atomic.Int64
-	// started is when the process started.
-	started clock.Time
+	// started is when the process started, and startupDelay its random delay before it reads the store
+	// although it is not one of those that read first.
+	started      clock.Time
+	startupDelay clock.Span
 	// directUntil is the time until which this instance reads the store itself although others of the
 	// region do, as a clock.Time.
 	directUntil atomic.Int64
@@ -99,6 +101,7 @@
 	server := &Server{
 		settings: config.Settings, protocol: config.Protocol, clock: config.Clock, log: config.Log,
 		metrics: counters, state: newState(config, counters), started: config.Clock.Now(),
+		startupDelay: clock.Span(rand.Int64N(int64(startupSpread))),
 	}
 	server.idleConns = newIdleConns(server)
 	ctx, server.cancel = context.WithCancel(context.WithoutCancel(ctx))
@@ -211,7 +214,7 @@
 	list := store.NewFollower(store.Config{
 		Reader: source, Clock: s.clock, Prefix: source.EndpointPrefix(), Interval: listReadInterval,
 		WatchTimeout: min(maxListWatch, boundOrDefault(s.settings.ListBound)/watchDivisor),
-		OnUpdate:     s.state.applyOwnList, OnResult: s.state.storeResultHandler("endpoints"), ContinueRead: s.continueFirstRead,
+		OnUpdate:     s.state.applyOwnList, OnResult: s.state.storeResultHandler("endpoints"),
 	})
 	control := store.NewFollower(store.Config{
 		Reader: source, Clock: s.clock, Prefix: source.ControlPrefix(), Interval: controlReadInterval,
--- a/gate/sync.go
+++ b/gate/sync.go
@@ -34,13 +34,15 @@
 	syncInterval = 500 * clock.Millisecond
 	// directSpan is how long an instance reads the store itself after its queries have failed.
 	directSpan = 2 * clock.Second
-	// startupPatience is how long a new instance waits for the list of another one instead of reading
-	// all pages of a long list, and startupRetry the interval between two queries meanwhile.
-	startupPatience = 1500 * clock.Millisecond
-	startupRetry    = 50 * clock.Millisecond
-	// discoveryTime is how long a new instance waits to learn of others before it decides that it has
-	// to read a long list.
-	discoveryTime = 250 * clock.Millisecond
+	// A new instance takes the first data from another one of its region. It waits discoveryTime to
+	// learn of others. If it is none of those that read first, it waits startupPatience, and a random
+	// part of startupSpread, before it reads the store itself: if all did so at once after a loss of
+	// all instances, the links to the store would be overloaded.
+	discoveryTime   = 250 * clock.Millisecond
+	startupPatience = 2 * clock.Second
+	startupSpread   = 2 * clock.Second
+	// startupRetry is the interval between two attempts to get the first data.
+	startupRetry = 30 * clock.Millisecond
 	// maxWholeTransfers bounds the whole lists that are sent at the same time, so that new instances
 	// spread over all that have the list.
 	maxWholeTransfers = 4
@@ -115,39 +117,42 @@
 
 // fetchFirstList gets the list from another instance, if there is one, or from the store.
 func (s *Server) fetchFirstList(ctx context.Context, follower *store.Follower) {
-	peers := s.regionPeers()
-	if len(peers) == 0 || s.clock.Now().Sub(s.started) > startupPatience {
-		follower.Step(ctx)
+	if peers := s.regionPeers(); len(peers) > 0 && s.syncFrom(ctx, peers[s.randomUint64()%uint64(len(peers))], s.freshLimits()) {
 		return
 	}
-	if !s.syncFrom(ctx, peers[s.randomUint64()%uint64(len(peers))], s.freshLimits()) {
-		clock.Sleep(ctx, startupRetry)
+	if s.mayReadFirst() {
+		follower.Step(ctx)
+		return
 	}
+	clock.Sleep(ctx, startupRetry)
 }
 
-// continueFirstRead reports whether a new instance must read all pages of a long list from the
-// store. It waits until others are known.
-func (s *Server) continueFirstRead(ctx context.Context) bool {
-	for ctx.Err() == nil && !s.state.listed.Load() {
-		elapsed := s.clock.Now().Sub(s.started)
-		switch {
-		case elapsed > startupPatience:
-			return true
-		case len(s.regionPeers()) > 0:
-			return false
-		case elapsed > discoveryTime && slices.Contains(s.storeReaders(s.node.StartingInRegion()), s.settings.Name):
-			return true
-		}
-		clock.Sleep(ctx, startupRetry)
+// mayReadFirst reports whether a new instance may read the store already. The seeds do so at once:
+// there are few of them, and others learn of them first.
+func (s *Server) mayReadFirst() bool {
+	if slices.Contains(s.settings.Seeds, s.node.Address()) {
+		return true
+	}
+	elapsed := s.clock.Now().Sub(s.started)
+	starting := s.node.StartingInRegion()
+	switch {
+	case elapsed < discoveryTime:
+		return false
+	case elapsed > startupPatience+s.startupDelay:
+		return true
+	case len(starting) == 0:
+		return len(s.regionPeers()) == 0
+	default:
+		return slices.Contains(s.storeReaders(starting), s.settings.Name)
 	}
-	return ctx.Err() == nil
 }
 
 // followControl keeps the configuration up to date while this instance reads the store.
 func (s *Server) followControl(ctx context.Context, follower *store.Follower) {
 	for ctx.Err() == nil {
-		if s.state.table.Load() != nil && !s.readsStore() {
-			clock.Sleep(ctx, syncInterval/2)
+		known := s.state.table.Load() != nil
+		if known && !s.readsStore() || !known && !s.mayReadFirst() {
+			clock.Sleep(ctx, startupRetry)
 			continue
 		}
 		follower.Resume(s.state.controlRevision())
@@ -180,10 +185,14 @@
 	}
 }
 
+// syncWithAny queries any instance, preferably of this region, and accepts old data too.
 func (s *Server) syncWithAny(ctx context.Context) {
-	alive := s.node.Alive()
-	if len(alive) > 0 {
-		s.syncFrom(ctx, alive[s.randomUint64()%uint64(len(alive))], ageLimits{maxOutageAge, maxOutageAge})
+	candidates := s.regionPeers()
+	if len(candidates) == 0 {
+		candidates = s.node.Alive()
+	}
+	if len(candidates) > 0 {
+		s.syncFrom(ctx, candidates[s.randomUint64()%uint64(len(candidates))], ageLimits{maxOutageAge, maxOutageAge})
 	}
 }
 
@@ -290,7 +299,7 @@
 		}
 		defer s.wholeTransfers.Add(-1)
 	}
-	data, err := msgpack.Marshal(response)
+	data, err := mesh.Encode(response)
 	if err != nil {
 		s.log.Error("encoding response to another instance failed", zap.Error(err))
 		w.WriteHeader(http.StatusInternalServerError)
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -129,9 +129,13 @@
 	regionFanout = 6
 	remoteFanout = 2
 	// maxGossipRecords is the maximum number of other instances' records in a message, and
-	// maxJoinRecords the same in the reply to an instance that joins.
+	// maxJoinRegional and maxJoinOthers the same in the reply to an instance that joins.
 	maxGossipRecords = 4
-	maxJoinRecords   = 32
+	maxJoinRegional  = 32
+	maxJoinOthers    = 12
+	// joinFanout is how many instances of the own region are asked for records in each round with
+	// facts during settleTime.
+	joinFanout = 2
 	// maxLoads bounds the endpoint loads in one message; the largest ones are kept.
 	maxLoads = 160
 	// maxCrashReports bounds the crash reports in one message.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -119,9 +119,9 @@
 	n.send(replies)
 }
 
-// Encode returns the bytes of a datagram. Structs are encoded as arrays, which takes half the
+// Encode returns a message to another instance. Structs are encoded as arrays, which takes half the
 // bytes of an encoding with field names.
-func Encode(message Message) ([]byte, error) {
+func Encode(message any) ([]byte, error) {
 	var data bytes.Buffer
 	encoder := msgpack.NewEncoder(&data)
 	encoder.UseArrayEncodedStructs(true)
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -126,9 +126,10 @@
 // factMessages returns the messages with gossip and facts to the next instances of the cycles.
 func (t *Table) factMessages(now clock.Time, regional, remote []*peer, facts Facts) (messages []OutgoingMessage) {
 	loads, notices := largestLoads(facts.Loads), t.recentNotices(now)
-	for _, p := range nextInCycle(regional, &t.regionCursor, regionFanout) {
+	for i, p := range nextInCycle(regional, &t.regionCursor, regionFanout) {
 		p.monitored = p.monitored || len(notices) >= manyDown
 		message := t.messageTo(now, p)
+		message.Join = i < joinFanout && !t.Settled(now)
 		message.Down, message.Loads, message.CrashReports = notices, loads, visibleReports(facts.CrashReports, p.Region)
 		messages = append(messages, OutgoingMessage{p.Mesh, message})
 	}
@@ -171,7 +172,7 @@
 
 func (t *Table) messageTo(now clock.Time, receiver *peer) Message {
 	return Message{
-		From: t.self, Receiver: receiver.Name, Join: !t.Settled(now),
+		From: t.self, Receiver: receiver.Name,
 		HearsReceiver: now.Sub(receiver.lastMessage) < t.aliveTimeout(receiver), Records: t.gossipSample(now, receiver.Name, maxGossipRecords),
 		Sent: now, EchoedTime: receiver.peerSendTime, HoldTime: now.Sub(receiver.echoHeldFrom),
 	}
@@ -185,7 +186,7 @@
 			known = known || p.Mesh == s && t.alive(now, p)
 		}
 		if !known {
-			messages = append(messages, OutgoingMessage{s, Message{From: t.self, WantReply: true, Join: true}})
+			messages = append(messages, OutgoingMessage{s, Message{From: t.self, WantReply: true, Join: !t.Settled(now)}})
 		}
 	}
 	return messages
@@ -241,6 +242,17 @@
 	return records
 }
 
+// joinRecords returns records for an instance that joins, first those of its region: it gets the
+// first data from them.
+func (t *Table) joinRecords(now clock.Time, receiver *peer) []Record {
+	records := t.filter(func(p *peer) bool {
+		return p.Region == receiver.Region && p.Name != receiver.Name && t.alive(now, p)
+	})
+	t.rng.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	records = records[:min(len(records), maxJoinRegional)]
+	return append(records, t.gossipSample(now, receiver.Name, maxJoinOthers)...)
+}
+
 // Accepts reports whether a message is meant for this instance and from another one. An address may
 // have belonged to another instance before.
 func (t *Table) Accepts(message Message) bool {
@@ -298,9 +310,8 @@
 // and a notice for one that was considered down, so that it refutes that everywhere.
 func (t *Table) reply(now clock.Time, sender *peer, message Message, wasDown bool) OutgoingMessage {
 	reply := t.messageTo(now, sender)
-	reply.Join = false
 	if message.Join {
-		reply.Records = t.gossipSample(now, sender.Name, maxJoinRecords)
+		reply.Records = t.joinRecords(now, sender)
 	}
 	if wasDown {
 		reply.Down = []DownNotice{{sender.Name, sender.Incarnation, sender.downCounter}}
--- a/store/follow.go
+++ b/store/follow.go
@@ -11,6 +11,9 @@
 const (
 	// callTimeout bounds a call that the store answers immediately. A slow store takes 200 ms.
 	callTimeout = 800 * clock.Millisecond
+	// changePause is the pause after a watch call that returned changes: others often follow, and each
+	// call is billed.
+	changePause = 100 * clock.Millisecond
 	// firstBackoff and lastBackoff bound the wait after failed calls.
 	firstBackoff = 100 * clock.Millisecond
 	lastBackoff  = 800 * clock.Millisecond
@@ -32,9 +35,6 @@
 	// OnResult is called with the error of each failed call, and with nil for the first successful
 	// call after a failure.
 	OnResult func(error)
-	// ContinueRead is called once per read if there is more than one page. If it returns false, the
-	// read is abandoned. It may be nil.
-	ContinueRead func(context.Context) bool
 }
 
 // Follower tracks the content under one prefix. It is not safe for concurrent use.
@@ -74,11 +74,7 @@
 	var update Update
 	var err error
 	if f.revision == 0 || f.config.Clock.Now().Sub(f.lastRead) >= f.config.Interval {
-		var complete bool
-		update, complete, err = f.readAll(ctx)
-		if err == nil && !complete {
-			return
-		}
+		update, err = f.readAll(ctx)
 	} else {
 		update, err = f.watch(ctx)
 	}
@@ -88,20 +84,22 @@
 	f.revision = max(f.revision, update.Revision)
 	f.seen = max(f.seen, f.revision)
 	f.config.OnUpdate(update)
+	if !update.Whole && len(update.Items)+len(update.Deleted) > 0 {
+		clock.Sleep(ctx, changePause)
+	}
 }
 
 // readAll reads the whole prefix, page by page. Pages are not a snapshot; the watch repeats the
-// changes that occur during the read. complete is false if the read was abandoned. Errors are of
-// type *Error.
-func (f *Follower) readAll(ctx context.Context) (update Update, complete bool, err error) {
-	update = Update{Whole: true, Read: f.config.Clock.Now()}
+// changes that occur during the read. Errors are of type *Error.
+func (f *Follower) readAll(ctx context.Context) (Update, error) {
+	update := Update{Whole: true, Read: f.config.Clock.Now()}
 	after := ""
 	for n := range maxPages {
 		call, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 		page, err := f.config.Reader.Range(call, f.config.Prefix, after)
 		cancel()
 		if err != nil {
-			return update, false, err
+			return update, err
 		}
 		if n == 0 {
 			update.Revision = page.Revision
@@ -109,14 +107,11 @@
 		update.Items = append(update.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			f.lastRead = update.Read
-			return update, true, nil
-		}
-		if n == 0 && f.config.ContinueRead != nil && !f.config.ContinueRead(ctx) {
-			return update, false, nil
+			return update, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	return update, false, fault.Newf("read", KindMalformed, "more than %d pages", maxPages)
+	return update, fault.Newf("read", KindMalformed, "more than %d pages", maxPages)
 }
 
 // watch returns the changes since the last update. If the store held the call for its whole wait,
