fix(codec): check declared lengths before a message is decoded

Cause: FuzzSyncResponse found a message of 10 bytes that ends the process: an array that declares 1.3 billion elements, for which the msgpack library allocates 161 GB before it reads one. Datagrams of the mesh and tickets were decoded in the same way; frames of wire were checked already. Change: wire's check moves to the new package codec, through which mesh, gate, wire and ticket decode.

--- a/wire/depth.go
+++ b/codec/depth.go
@@ -1,4 +1,4 @@
-package wire
+package codec
 
 import (
 	"encoding/binary"
@@ -6,6 +6,10 @@
 	"github.com/tanagerbridge/tanagerbridge/fault"
 )
 
+// maxDepth is the maximum number of nested arrays and maps: the decoder is recursive, so a long
+// message of nothing else would overflow its stack.
+const maxDepth = 32
+
 // checkDepth scans one msgpack value without recursion. It rejects values that are
 // nested deeper than maxDepth, truncated or followed by other data.
 func checkDepth(data []byte) error {
@@ -20,19 +24,19 @@
 		open[level]--
 		size, inner, ok := parseHeader(data)
 		if !ok {
-			return fault.Newf("decode", KindMalformed, "value is truncated")
+			return fault.Newf("check", KindMalformed, "value is truncated")
 		}
 		data = data[size:]
 		if inner == 0 {
 			continue
 		}
 		if level++; level == maxDepth {
-			return fault.Newf("decode", KindMalformed, "value is nested deeper than %d levels", maxDepth)
+			return fault.Newf("check", KindMalformed, "value is nested deeper than %d levels", maxDepth)
 		}
 		open[level] = inner
 	}
 	if len(data) > 0 {
-		return fault.Newf("decode", KindMalformed, "value is followed by %d more bytes", len(data))
+		return fault.Newf("check", KindMalformed, "value is followed by %d more bytes", len(data))
 	}
 	return nil
 }
--- a/gate/sync.go
+++ b/gate/sync.go
@@ -8,10 +8,10 @@
 	"strconv"
 	"strings"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
@@ -215,7 +215,7 @@
 }
 
 // query sends a request to another instance and decodes the response.
-func (s *Server) query(ctx context.Context, address, uri string, into any) error {
+func (s *Server) query(ctx context.Context, address, uri string, into *syncResponse) error {
 	response, err := s.state.relay(address).Do(ctx, &relay.Request{
 		Method: http.MethodGet, URI: uri, Host: address, Header: http.Header{},
 	}, repeatableConnIdle)
@@ -230,7 +230,7 @@
 	if response.StatusCode != http.StatusOK {
 		return fault.Newf("query", KindPeerResponse, "status %d", response.StatusCode)
 	}
-	return msgpack.Unmarshal(data, into)
+	return codec.Decode(data, into)
 }
 
 // syncQuery is a query of another instance.
@@ -299,7 +299,7 @@
 		}
 		defer s.wholeTransfers.Add(-1)
 	}
-	data, err := mesh.Encode(response)
+	data, err := codec.Encode(response)
 	if err != nil {
 		s.log.Error("encoding response to another instance failed", zap.Error(err))
 		w.WriteHeader(http.StatusInternalServerError)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -1,16 +1,15 @@
 package mesh
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/logs"
@@ -104,7 +103,7 @@
 func (n *Node) handle(datagram []byte) {
 	defer logs.RecoverPanic(n.config.Log, "datagram", n.config.OnPanic)
 	var message Message
-	if err := msgpack.Unmarshal(datagram, &message); err != nil {
+	if err := codec.Decode(datagram, &message); err != nil {
 		n.config.Log.Warn("malformed datagram", zap.Error(err))
 		return
 	}
@@ -119,25 +118,13 @@
 	n.send(replies)
 }
 
-// Encode returns a message to another instance. Structs are encoded as arrays, which takes half the
-// bytes of an encoding with field names.
-func Encode(message any) ([]byte, error) {
-	var data bytes.Buffer
-	encoder := msgpack.NewEncoder(&data)
-	encoder.UseArrayEncodedStructs(true)
-	if err := encoder.Encode(message); err != nil {
-		return nil, err
-	}
-	return data.Bytes(), nil
-}
-
 func (n *Node) send(messages []OutgoingMessage) {
 	for _, l := range messages {
-		data, err := Encode(l.Message)
+		data, err := codec.Encode(l.Message)
 		if err == nil && len(data) > maxDatagramBytes {
 			// Membership must not depend on how much there is to report.
 			l.Message.Facts, l.Message.Records = Facts{}, nil
-			data, err = Encode(l.Message)
+			data, err = codec.Encode(l.Message)
 		}
 		if err != nil || len(data) > maxDatagramBytes {
 			n.config.Log.Warn("message not sent: encoding failed or datagram too large", zap.Int("bytes", len(data)), zap.Error(err))
--- a/mesh/table_bench_test.go
+++ b/mesh/table_bench_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
 	"github.com/tanagerbridge/tanagerbridge/pool"
@@ -30,7 +31,7 @@
 			for b.Loop() {
 				fleet.now = fleet.now.Add(200)
 				for _, l := range table.NextRound(fleet.now, fleet.facts) {
-					data, err := mesh.Encode(l.Message)
+					data, err := codec.Encode(l.Message)
 					require.NoError(b, err)
 					bytes += len(data)
 				}
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -5,9 +5,9 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
@@ -180,10 +180,10 @@
 			CrashReports: []gossip.CrashReport{{Fingerprint: 5, Refused: true, Remaining: 6, Regions: []ident.Region{"r"}}},
 		},
 	}
-	data, err := mesh.Encode(want)
+	data, err := codec.Encode(want)
 	require.NoError(t, err)
 	var got mesh.Message
-	require.NoError(t, msgpack.Unmarshal(data, &got))
+	require.NoError(t, codec.Decode(data, &got))
 	require.Equal(t, want, got)
 }
 
--- a/ticket/keys.go
+++ b/ticket/keys.go
@@ -1,14 +1,12 @@
 package ticket
 
 import (
-	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
 	"strings"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 )
@@ -140,23 +138,17 @@
 }
 
 func marshal(ticket Ticket) []byte {
-	var buffer bytes.Buffer
-	encoder := msgpack.NewEncoder(&buffer)
-	encoder.UseArrayEncodedStructs(true)
-	if err := encoder.Encode(ticket); err != nil {
+	data, err := codec.Encode(ticket)
+	if err != nil {
 		panic(err) // encoding strings and integers to a buffer cannot fail
 	}
-	return buffer.Bytes()
+	return data
 }
 
 func unmarshal(body []byte) (Ticket, error) {
 	var ticket Ticket
-	reader := bytes.NewReader(body)
-	if err := msgpack.NewDecoder(reader).Decode(&ticket); err != nil {
+	if err := codec.Decode(body, &ticket); err != nil {
 		return Ticket{}, fault.Wrap("decode", KindMalformed, err)
 	}
-	if reader.Len() > 0 {
-		return Ticket{}, fault.Newf("decode", KindMalformed, "%d bytes after the ticket", reader.Len())
-	}
 	return ticket, nil
 }
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 )
 
@@ -19,9 +20,6 @@
 	lengthBytes = 4
 	// initialBufferBytes bounds the allocation before the content of a frame has arrived.
 	initialBufferBytes = 16 << 10
-	// maxDepth bounds the nesting of values: the decoder is recursive, so 2 MB of
-	// nested arrays would cause a recursion two million calls deep.
-	maxDepth = 32
 )
 
 // envelope is the content of a frame. A response repeats the id of its request.
@@ -107,10 +105,7 @@
 
 // unmarshal decodes exactly one value; trailing data is an error.
 func unmarshal(data []byte, v any) error {
-	if err := checkDepth(data); err != nil {
-		return err
-	}
-	if err := msgpack.Unmarshal(data, v); err != nil {
+	if err := codec.Decode(data, v); err != nil {
 		return fault.Wrap("decode", KindMalformed, err)
 	}
 	return nil
