test(proof): show an entry's state and log when its status can't be read

Change: awaitState adds the kernel's state of the process and its log. queue.CountByCaller and fleet.Candidate.Warm are gone; nothing used them.

--- a/fleet/group.go
+++ b/fleet/group.go
@@ -56,8 +56,6 @@
 	OwnAttempts int
 	// Cold is set while the endpoint warms up after becoming live with a cold cache.
 	Cold bool
-	// Warm is set if the endpoint has reported cached prompt prefixes.
-	Warm bool
 	// Exclusive is set if a suspect request of this entry runs there, which excludes others.
 	Exclusive bool
 	// Probe is set if the endpoint is slow and is due one request that tests whether it
@@ -180,7 +178,6 @@
 		Weight:       e.speed.weight * cold,
 		OwnAttempts:  len(e.attempts),
 		Cold:         e.warmingSince != 0,
-		Warm:         len(e.prefixes) > 0,
 		Exclusive:    e.exclusiveAttempts > 0,
 		Probe:        e.speed.probeDue(now, e.group.attemptsStarted, nearCapacity),
 		Duration:     clock.Span(e.group.meanDuration),
--- a/proof/scene_test.go
+++ b/proof/scene_test.go
@@ -224,13 +224,31 @@
 func (c *cluster) awaitState(name string, state status.State) error {
 	return eventually(func() error {
 		got, err := c.statusOf(name)
-		if err == nil && got.State != state {
-			err = errors.Errorf("%s is %s, want %s: %s", name, got.State, state, c.processes[name].logs)
+		switch {
+		case err != nil:
+			return errors.Wrap(err, c.processes[name].describe())
+		case got.State != state:
+			return errors.Errorf("%s is %s, want %s: %s", name, got.State, state, c.processes[name].logs)
 		}
-		return err
+		return nil
 	})
 }
 
+// describe returns the kernel's state of the process and its log.
+func (p *process) describe() string {
+	state := "exited"
+	select {
+	case <-p.exited:
+	default:
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+		state = string(stat)
+		if err != nil {
+			state = err.Error()
+		}
+	}
+	return fmt.Sprintf("%s: state %s; log: %s", p.name, state, p.logs)
+}
+
 // awaitVersion waits until a bundle version is in force at an entry.
 func (c *cluster) awaitVersion(name string, version ident.Version) error {
 	return eventually(func() error {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -98,9 +98,6 @@
 	return 0
 }
 
-// CountByCaller returns the number of waiting items of a caller over all services.
-func (q *Queue) CountByCaller(caller ident.Caller) int { return q.callers[caller] }
-
 // Push adds an item. If the queue of its service is full, Push sheds the least urgent
 // items with the latest deadlines, provided that they are less urgent than the new one,
 // and returns them. Errors are of kind KindFull, KindCallerLimit or KindDuplicate.
