--- a/assign/assign.go
+++ b/assign/assign.go
@@ -194,7 +194,7 @@
 // unable to reach the engine. Entries that disagree may both send an order, which is
 // harmless since orders are idempotent.
 func (p *Planner) isResponsible(target lackingEngine, orderers []ident.Entry) bool {
-	ranked := watch.Watchers(string(target.listed.Endpoint), orderers, len(orderers))
+	ranked := watch.Rendezvous(string(target.listed.Endpoint), orderers, len(orderers))
 	return ranked[target.engine.turnsPassed%len(ranked)] == p.config.Entry
 }
 
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -111,7 +111,7 @@
 	if !slices.Contains(live, s.settings.Name) {
 		live = append(live, s.settings.Name)
 	}
-	return slices.Contains(watch.Watchers(s.settings.Platform.BundleName, live, bundleWatchers), s.settings.Name)
+	return slices.Contains(watch.Rendezvous(s.settings.Platform.BundleName, live, bundleWatchers), s.settings.Name)
 }
 
 // offerBundle validates a signed bundle from the platform or a peer and reports whether it
--- a/mesh/detect.go
+++ b/mesh/detect.go
@@ -29,7 +29,7 @@
 		}
 	}
 	key := string(t.self.Name)
-	names := append(watch.Watchers(key, sameZone, zoneMonitors), watch.Watchers(key, otherZone, otherZoneMonitors)...)
+	names := append(watch.Rendezvous(key, sameZone, zoneMonitors), watch.Rendezvous(key, otherZone, otherZoneMonitors)...)
 	for _, name := range names {
 		monitors = append(monitors, t.peers[name])
 	}
--- /dev/null
+++ b/mesh/round.go
@@ -0,0 +1,168 @@
+package mesh
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/gossip"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// OutgoingMessage is a message with the address of its receiver.
+type OutgoingMessage struct {
+	Address string
+	Message Message
+}
+
+// NextRound increments the counter and returns the messages to send: heartbeats, probes and, unless
+// the round is left out in a large fleet, gossip and facts.
+func (t *Table) NextRound(now clock.Time, facts Facts) []OutgoingMessage {
+	t.self.Counter++
+	t.round++
+	regional, remote := t.peersByRegion()
+	t.regionPeers, t.remotePeers, t.regionCount = len(regional), len(remote), t.countRegions()
+	messages := append(t.heartbeats(now, regional), t.detect(now, regional)...)
+	if t.round%t.factRounds() == 0 {
+		messages = append(messages, t.factMessages(now, regional, remote, facts)...)
+	}
+	return append(messages, t.seedMessages(now)...)
+}
+
+func (t *Table) heartbeats(now clock.Time, regional []*peer) (messages []OutgoingMessage) {
+	for _, p := range t.monitors(now, regional) {
+		messages = append(messages, OutgoingMessage{p.Mesh, Message{From: t.self, Receiver: p.Name, Heartbeat: true}})
+	}
+	return messages
+}
+
+// factMessages returns the messages with gossip and facts to the next instances of the cycles.
+func (t *Table) factMessages(now clock.Time, regional, remote []*peer, facts Facts) (messages []OutgoingMessage) {
+	loads, notices := largestLoads(facts.Loads), t.recentNotices(now)
+	for i, p := range nextInCycle(regional, &t.regionCursor, regionFanout) {
+		p.monitored = p.monitored || len(notices) >= manyDown
+		message := t.messageTo(now, p)
+		message.Join = i < joinFanout && !t.Settled(now)
+		message.Down, message.Loads, message.CrashReports = notices, loads, visibleReports(facts.CrashReports, p.Region)
+		messages = append(messages, OutgoingMessage{p.Mesh, message})
+	}
+	for _, p := range nextInCycle(remote, &t.remoteCursor, max(remoteFanout, t.regionCount)) {
+		message := t.messageTo(now, p)
+		message.Down, message.Services, message.CrashReports = notices, facts.Services, visibleReports(facts.CrashReports, p.Region)
+		messages = append(messages, OutgoingMessage{p.Mesh, message})
+	}
+	return messages
+}
+
+// largestLoads returns at most maxLoads of the loads.
+func largestLoads(loads []EndpointLoad) []EndpointLoad {
+	if len(loads) <= maxLoads {
+		return loads
+	}
+	sorted := slices.Clone(loads)
+	slices.SortFunc(sorted, func(a, b EndpointLoad) int { return cmp.Compare(b.Count, a.Count) })
+	return sorted[:maxLoads]
+}
+
+// visibleReports returns the crash reports that a region may receive, at most maxCrashReports.
+func visibleReports(reports []gossip.CrashReport, region ident.Region) (visible []gossip.CrashReport) {
+	for _, a := range reports {
+		if a.Visible(region) && len(visible) < maxCrashReports {
+			visible = append(visible, a)
+		}
+	}
+	return visible
+}
+
+// StateMessages returns messages to all instances that publish the state of this one.
+func (t *Table) StateMessages(now clock.Time) (messages []OutgoingMessage) {
+	t.self.Counter++
+	for _, p := range t.peers {
+		messages = append(messages, OutgoingMessage{p.Mesh, t.messageTo(now, p)})
+	}
+	return messages
+}
+
+func (t *Table) messageTo(now clock.Time, receiver *peer) Message {
+	return Message{
+		From: t.self, Receiver: receiver.Name,
+		HearsReceiver: now.Sub(receiver.lastMessage) < t.aliveTimeout(receiver), Records: t.gossipSample(now, receiver.Name, maxGossipRecords),
+		Sent: now, EchoedTime: receiver.peerSendTime, HoldTime: now.Sub(receiver.echoHeldFrom),
+	}
+}
+
+// seedMessages returns messages to the seeds at which no live instance is known.
+func (t *Table) seedMessages(now clock.Time) (messages []OutgoingMessage) {
+	for _, s := range t.seeds {
+		known := false
+		for _, p := range t.peers {
+			known = known || p.Mesh == s && t.alive(now, p)
+		}
+		if !known {
+			messages = append(messages, OutgoingMessage{s, Message{From: t.self, WantReply: true, Join: !t.Settled(now)}})
+		}
+	}
+	return messages
+}
+
+// peersByRegion returns the remembered instances of this region and of the others, sorted by name.
+func (t *Table) peersByRegion() (regional, remote []*peer) {
+	t.names = slices.Sorted(maps.Keys(t.peers))
+	for _, name := range t.names {
+		known := t.peers[name]
+		if known.Region == t.self.Region {
+			regional = append(regional, known)
+		} else {
+			remote = append(remote, known)
+		}
+	}
+	return regional, remote
+}
+
+func (t *Table) countRegions() int {
+	seen := make(map[ident.Region]bool)
+	for _, p := range t.peers {
+		seen[p.Region] = true
+	}
+	return len(seen)
+}
+
+// nextInCycle returns the next count peers in cyclic order and advances the cursor.
+func nextInCycle(peers []*peer, cursor *int, count int) (next []*peer) {
+	for range min(count, len(peers)) {
+		*cursor++
+		next = append(next, peers[*cursor%len(peers)])
+	}
+	return next
+}
+
+// gossipSample returns up to count records of live instances.
+func (t *Table) gossipSample(now clock.Time, receiver ident.Entry, count int) (records []Record) {
+	if len(t.names) == 0 {
+		return nil
+	}
+	start := t.rng.IntN(len(t.names))
+	step := 1 + t.rng.IntN(len(t.names))
+	for i := range min(len(t.names), 2*count) {
+		candidate := t.peers[t.names[(start+i*step)%len(t.names)]]
+		if candidate == nil || candidate.Name == receiver || !t.alive(now, candidate) {
+			continue
+		}
+		if records = append(records, candidate.Record); len(records) == count {
+			break
+		}
+	}
+	return records
+}
+
+// joinRecords returns records for an instance that joins, first those of its region: it gets the
+// first data from them.
+func (t *Table) joinRecords(now clock.Time, receiver *peer) []Record {
+	records := t.filter(func(p *peer) bool {
+		return p.Region == receiver.Region && p.Name != receiver.Name && t.alive(now, p)
+	})
+	t.rng.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	records = records[:min(len(records), maxJoinRegional)]
+	return append(records, t.gossipSample(now, receiver.Name, maxJoinOthers)...)
+}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -169,7 +169,7 @@
 	if !p.settled {
 		return false
 	}
-	owner := watch.Watchers(string(candidate.ID), p.members, 1)
+	owner := watch.Rendezvous(string(candidate.ID), p.members, 1)
 	return len(owner) == 1 && owner[0] == p.config.Self
 }
 
--- a/watch/list_test.go
+++ b/watch/list_test.go
@@ -84,14 +84,14 @@
 			live = append(live, ident.Entry(e))
 		}
 		n := rapid.IntRange(-1, 5).Draw(rt, "n")
-		chosen := watch.Watchers("bundle", live, n)
+		chosen := watch.Rendezvous("bundle", live, n)
 		require.Len(rt, chosen, max(0, min(n, len(live))))
 		require.Subset(rt, live, chosen)
-		require.Equal(rt, chosen, watch.Watchers("bundle", rapid.Permutation(live).Draw(rt, "order"), n))
+		require.Equal(rt, chosen, watch.Rendezvous("bundle", rapid.Permutation(live).Draw(rt, "order"), n))
 		if len(live) == 0 {
 			return
 		}
-		fewer := watch.Watchers("bundle", live[1:], n)
+		fewer := watch.Rendezvous("bundle", live[1:], n)
 		kept := 0
 		for _, e := range fewer {
 			for _, c := range chosen {
@@ -109,7 +109,7 @@
 	live := []ident.Entry{"e1", "e2", "e3", "e4"}
 	var shares [4]int
 	for i := range 4000 {
-		first := watch.Watchers(strings.Repeat("k", i%7)+string(rune('a'+i)), live, 1)[0]
+		first := watch.Rendezvous(strings.Repeat("k", i%7)+string(rune('a'+i)), live, 1)[0]
 		shares[first[1]-'1']++
 	}
 	for _, s := range shares {
--- a/watch/rendezvous.go
+++ b/watch/rendezvous.go
@@ -9,10 +9,10 @@
 	"github.com/tanagerbridge/tanagerbridge/ident"
 )
 
-// Watchers returns up to n of the live entries, chosen by rendezvous hashing and sorted by
-// descending preference. All entries with the same view choose the same watchers, and an
-// entry that joins or leaves changes at most one of them.
-func Watchers(key string, live []ident.Entry, n int) []ident.Entry {
+// Rendezvous returns up to n of the live entries, chosen by rendezvous hashing for a key and sorted
+// by descending preference. All entries with the same view choose the same ones, and an entry that
+// joins or leaves changes at most one of them.
+func Rendezvous(key string, live []ident.Entry, n int) []ident.Entry {
 	type candidate struct {
 		entry ident.Entry
 		score uint64
