feat(gate): let instances that start back off from the few that have the data

Each of the hundred instances of a region asked the few that were ready every 30 ms, refused ones too, and once more every 20 ms after half a second. Change: the wait between two attempts doubles from 30 to 500 ms and is random; an instance still announces itself within 20 ms of being ready.

--- a/gate/follow.go
+++ b/gate/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
@@ -26,10 +27,24 @@
 	discoveryTime   = 250 * clock.Millisecond
 	startupPatience = 2 * clock.Second
 	startupSpread   = 2 * clock.Second
-	// startupRetry is the interval between two attempts to get the first data.
-	startupRetry = 30 * clock.Millisecond
+	// startupRetry and maxStartupRetry bound the wait between two attempts to get the first data. It
+	// doubles with each, since at first many instances ask the few that have the data.
+	startupRetry    = 30 * clock.Millisecond
+	maxStartupRetry = 500 * clock.Millisecond
 )
 
+// backoff is the wait before the next attempt; it doubles with each one.
+type backoff struct {
+	next clock.Span
+}
+
+// nextSpan returns the next wait, which is random around the current one.
+func (b *backoff) nextSpan() clock.Span {
+	span := max(startupRetry, b.next)
+	b.next = min(maxStartupRetry, 2*span)
+	return span/2 + clock.Span(rand.Int64N(int64(span)))
+}
+
 // regionPeers returns the other instances of this region that are ready.
 func (s *Server) regionPeers() []mesh.Record {
 	return slices.DeleteFunc(s.node.Alive(), func(r mesh.Record) bool { return r.Region != s.settings.Region })
@@ -52,10 +67,11 @@
 // followList keeps the list of endpoints up to date: by reading the store, or by querying an
 // instance that does, which also tells changes of the configuration.
 func (s *Server) followList(ctx context.Context, follower *store.Follower) {
+	var retry backoff
 	for ctx.Err() == nil {
 		switch {
 		case !s.state.listed.Load():
-			s.fetchFirstList(ctx, follower)
+			s.fetchFirstList(ctx, follower, &retry)
 		case s.readsStore():
 			follower.Resume(s.state.listRevision())
 			follower.Step(ctx)
@@ -68,15 +84,17 @@
 }
 
 // fetchFirstList gets the list from another instance, if there is one, or from the store.
-func (s *Server) fetchFirstList(ctx context.Context, follower *store.Follower) {
-	if peers := s.regionPeers(); len(peers) > 0 && s.syncFrom(ctx, peers[s.randomUint64()%uint64(len(peers))], s.freshLimits()) {
-		return
-	}
-	if s.mayReadFirst() {
+func (s *Server) fetchFirstList(ctx context.Context, follower *store.Follower, retry *backoff) {
+	peers := s.regionPeers()
+	switch {
+	case len(peers) > 0 && s.syncFrom(ctx, peers[s.randomUint64()%uint64(len(peers))], s.freshLimits()):
+	case s.mayReadFirst():
 		follower.Step(ctx)
-		return
+	case len(peers) > 0:
+		clock.Sleep(ctx, retry.nextSpan())
+	default:
+		clock.Sleep(ctx, startupRetry)
 	}
-	clock.Sleep(ctx, startupRetry)
 }
 
 // mayReadFirst reports whether a new instance may read the store already. The seeds do so at once:
--- a/gate/server.go
+++ b/gate/server.go
@@ -234,10 +234,12 @@
 // awaitReady waits until the instance can serve and announces that immediately. If the store does
 // not answer, it queries the other instances.
 func (s *Server) awaitReady(ctx context.Context) {
-	queryFrom := s.clock.Now().Add(storeGrace)
+	queryAt := s.clock.Now().Add(storeGrace)
+	var retry backoff
 	for ctx.Err() == nil && !s.state.ready() {
-		if !s.clock.Now().Before(queryFrom) {
+		if now := s.clock.Now(); !now.Before(queryAt) {
 			s.syncWithAny(ctx)
+			queryAt = now.Add(retry.nextSpan())
 		}
 		clock.Sleep(ctx, startupPollInterval)
 	}
