fix: mend what a read of the whole change showed

Each query of another instance walked over and hashed all entries of the list, also if nothing had changed; a request that is passed on was parsed twice; the report of a panic stood twice. A query without news is answered from the newest revision; Protocol.CopyAttemptID copies one header; logs.ReportPanic serves both. Two comments and a name are corrected. Behaviour is as it was.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -26,7 +26,8 @@
 type Error = fault.Error[Kind]
 
 // Encode returns the encoding of a message. Structs are encoded as arrays and integers in as few
-// bytes as they need, which takes less than half the bytes of the plain encoding. Errors have kind KindUnencodable.
+// bytes as they need, which takes less than half the bytes of the plain encoding. Errors have kind
+// KindUnencodable.
 func Encode(message any) ([]byte, error) {
 	var data bytes.Buffer
 	encoder := msgpack.NewEncoder(&data)
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -167,8 +167,9 @@
 	StripReserved(h http.Header)
 	SetForwardHeader(h http.Header, f ForwardMeta)
 	ResponseMeta(status int, h http.Header) ResponseMeta
-	// SetAttemptID sets the header field that says which request a response answers.
-	SetAttemptID(h http.Header, id string)
+	// CopyAttemptID copies the header field that says which request a response answers from the
+	// request to the response.
+	CopyAttemptID(response, request http.Header)
 	// SetRetryAfter sets the header fields that state when to retry a request that was not run.
 	SetRetryAfter(h http.Header, after clock.Span)
 }
--- a/gate/front.go
+++ b/gate/front.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/caller"
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/logs"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 )
 
@@ -55,7 +55,7 @@
 	arrived := s.clock.Now()
 	s.boundTransfer(w, refusalTransfer)
 	if hopped {
-		s.protocol.SetAttemptID(w.Header(), s.protocol.RequestMeta(r.Header).AttemptID)
+		s.protocol.CopyAttemptID(w.Header(), r.Header)
 	}
 	table := s.state.table.Load()
 	switch {
@@ -97,8 +97,8 @@
 	if cause == http.ErrAbortHandler { //nolint:errorlint // net/http compares the value too
 		panic(cause)
 	}
-	f.server.metrics.panics.Inc(1)
-	f.server.log.Error("panic", zap.String("request", f.meta.AttemptID), zap.String("cause", fmt.Sprint(cause)), zap.Stack("stack"))
+	f.server.countPanic()
+	logs.ReportPanic(f.server.log, cause, zap.String("request", f.meta.AttemptID))
 	f.fail(http.StatusBadGateway, "internal error")
 }
 
--- a/gate/listing.go
+++ b/gate/listing.go
@@ -34,6 +34,16 @@
 	return sum
 }
 
+// differing returns the buckets whose digests differ.
+func (d *digests) differing(other *digests) (buckets []int) {
+	for b := range d {
+		if d[b] != other[b] {
+			buckets = append(buckets, b)
+		}
+	}
+	return buckets
+}
+
 // listEntry is one endpoint of the list.
 type listEntry struct {
 	Info pool.Info
@@ -72,6 +82,8 @@
 	// firstRevision is the revision from which changes can be told, and revision that of the list.
 	firstRevision store.Revision
 	revision      store.Revision
+	// lastChange is the newest revision of an entry or a departure.
+	lastChange store.Revision
 	// read is the time as of which the list is complete.
 	read clock.Time
 }
@@ -101,6 +113,7 @@
 	}
 	l.digests[bucketOf(id)] += entry.hash()
 	l.entries[id] = entry
+	l.lastChange = max(l.lastChange, entry.Changed)
 	return true
 }
 
@@ -113,6 +126,7 @@
 	l.digests[bucketOf(id)] -= known.hash()
 	delete(l.entries, id)
 	l.departures = append(l.departures, departure{id, at})
+	l.lastChange = max(l.lastChange, at)
 	if excess := len(l.departures) - maxDepartures; excess > 0 {
 		l.firstRevision = max(l.firstRevision, l.departures[excess-1].revision)
 		l.departures = slices.Clone(l.departures[excess:])
@@ -187,14 +201,13 @@
 func (l *listing) since(now clock.Time, after store.Revision, theirs *digests) listDelta {
 	delta := listDelta{At: l.revision, Age: now.Sub(l.read), Digest: l.digests.total(), Whole: after < l.firstRevision}
 	if theirs != nil && !delta.Whole {
-		for b := range l.digests {
-			if l.digests[b] != theirs[b] {
-				delta.Buckets = append(delta.Buckets, b)
-			}
-		}
+		delta.Buckets = l.digests.differing(theirs)
+	}
+	if !delta.Whole && len(delta.Buckets) == 0 && after >= l.lastChange {
+		return delta // most queries find nothing new
 	}
 	for id, e := range l.entries {
-		if delta.Whole || e.Changed > after || slices.Contains(delta.Buckets, bucketOf(id)) {
+		if delta.Whole || e.Changed > after || len(delta.Buckets) > 0 && slices.Contains(delta.Buckets, bucketOf(id)) {
 			delta.Entries = append(delta.Entries, e)
 		}
 	}
--- a/logs/recover.go
+++ b/logs/recover.go
@@ -14,8 +14,13 @@
 	if cause == nil {
 		return
 	}
-	log.Error("panic", zap.String("task", task), zap.String("cause", fmt.Sprint(cause)), zap.Stack("stack"))
+	ReportPanic(log, cause, zap.String("task", task))
 	if onPanic != nil {
 		onPanic()
 	}
 }
+
+// ReportPanic logs a panic that was recovered, with its stack.
+func ReportPanic(log *zap.Logger, cause any, fields ...zap.Field) {
+	log.Error("panic", append(fields, zap.String("cause", fmt.Sprint(cause)), zap.Stack("stack"))...)
+}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -236,7 +236,7 @@
 
 // reserve counts a body of the given size in Config.Memory, except for its start.
 func (r *EndpointResponse) reserve(size int64) error {
-	for size > freeBodyBytes+r.reserved {
+	for size > uncountedBodyBytes+r.reserved {
 		if !r.pool.config.Memory.reserve(reserveBytes) {
 			return fault.Newf("read", KindTooLarge, "no memory for a body of %d bytes", size)
 		}
