fix(mesh): list the region to a joining instance in windows

Cause: an instance learned the others of its region from random samples of records. The order of the simulated network came from map iteration, so that a run could not be repeated. Change: a joining instance names where the reply is to start; overlapping windows cover the region. The network of the tests takes its order from a seed.

--- a/mesh/detect.go
+++ b/mesh/detect.go
@@ -129,10 +129,8 @@
 	if !message.RelayDown {
 		return messages
 	}
-	for _, p := range t.peers {
-		if p.Region == t.self.Region && t.alive(now, p) {
-			messages = append(messages, OutgoingMessage{p.Mesh, Message{From: t.self, Receiver: p.Name, Down: message.Down}})
-		}
+	for _, r := range t.filter(func(p *peer) bool { return p.Region == t.self.Region && t.alive(now, p) }) {
+		messages = append(messages, OutgoingMessage{r.Mesh, Message{From: t.self, Receiver: r.Name, Down: message.Down}})
 	}
 	return messages
 }
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -82,8 +82,9 @@
 	Probe []ident.Entry
 	// Reached lists instances that have answered such a probe.
 	Reached []ident.Entry
-	// Join requests the records of many instances.
-	Join bool
+	// Join requests the records of many instances, those of the sender's region from JoinFrom on.
+	Join     bool
+	JoinFrom ident.Entry
 	// HearsReceiver reports whether the sender has recently received a message from the receiver.
 	HearsReceiver bool
 	// Records describe some other instances.
--- a/mesh/round.go
+++ b/mesh/round.go
@@ -43,7 +43,9 @@
 	for i, p := range nextInCycle(regional, &t.regionCursor, regionFanout) {
 		p.monitored = p.monitored || len(notices) >= manyDown
 		message := t.messageTo(now, p)
-		message.Join = i < joinFanout && !t.Settled(now)
+		if i < joinFanout && !t.Settled(now) {
+			message.Join, message.JoinFrom = true, t.nextJoinWindow(regional)
+		}
 		message.Down, message.Loads, message.CrashReports = notices, loads, visibleReports(facts.CrashReports, p.Region)
 		messages = append(messages, OutgoingMessage{p.Mesh, message})
 	}
@@ -78,7 +80,8 @@
 // StateMessages returns messages to all instances that publish the state of this one.
 func (t *Table) StateMessages(now clock.Time) (messages []OutgoingMessage) {
 	t.self.Counter++
-	for _, p := range t.peers {
+	for _, name := range slices.Sorted(maps.Keys(t.peers)) {
+		p := t.peers[name]
 		messages = append(messages, OutgoingMessage{p.Mesh, t.messageTo(now, p)})
 	}
 	return messages
@@ -156,13 +159,25 @@
 	return records
 }
 
-// joinRecords returns records for an instance that joins, first those of its region: it gets the
-// first data from them.
-func (t *Table) joinRecords(now clock.Time, receiver *peer) []Record {
+// nextJoinWindow returns the name from which the next reply to a joining instance is to list the
+// region. The windows overlap, since the replying instance knows instances that this one does not.
+func (t *Table) nextJoinWindow(regional []*peer) ident.Entry {
+	name := regional[t.joinCursor%len(regional)].Name
+	t.joinCursor += maxJoinRegional / 2
+	return name
+}
+
+// joinRecords returns records for an instance that joins: those of its region from a name on, in
+// cyclic order, and a few others. An instance that knows no name yet gets them from a random one on.
+func (t *Table) joinRecords(now clock.Time, receiver *peer, from ident.Entry) []Record {
 	records := t.filter(func(p *peer) bool {
 		return p.Region == receiver.Region && p.Name != receiver.Name && t.alive(now, p)
 	})
-	t.rng.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	start := t.rng.IntN(len(records) + 1)
+	if from != "" {
+		start, _ = slices.BinarySearchFunc(records, from, func(r Record, name ident.Entry) int { return cmp.Compare(r.Name, name) })
+	}
+	records = slices.Concat(records[start:], records[:start])
 	records = records[:min(len(records), maxJoinRegional)]
 	return append(records, t.gossipSample(now, receiver.Name, maxJoinOthers)...)
 }
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -58,7 +58,9 @@
 
 	regionCursor int
 	remoteCursor int
-	rng          *rand.Rand
+	// joinCursor is where the next reply to this instance, while it joins, is to list its region.
+	joinCursor int
+	rng        *rand.Rand
 
 	// round counts the rounds, and lastRound is when the last one began.
 	round     uint64
@@ -153,7 +155,7 @@
 func (t *Table) reply(now clock.Time, sender *peer, message Message, wasDown bool) OutgoingMessage {
 	reply := t.messageTo(now, sender)
 	if message.Join {
-		reply.Records = t.joinRecords(now, sender)
+		reply.Records = t.joinRecords(now, sender, message.JoinFrom)
 	}
 	if wasDown {
 		reply.Down = []DownNotice{{sender.Name, sender.Incarnation, sender.downCounter}}
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -21,20 +24,26 @@
 	drop   func(from, to string) bool
 	sent   map[string]int
 	facts  mesh.Facts
+	rng    *rand.Rand
 }
 
 // roundInterval is the time between two rounds of an instance.
 const roundInterval = 200 * clock.Millisecond
 
-func newNetwork(count int, regions int) *network {
-	fleet := &network{now: 1000, tables: make(map[string]*mesh.Table), sent: make(map[string]int)}
+func newNetwork(count int, regions int) *network { return newSeededNetwork(count, regions, 1) }
+
+// newSeededNetwork returns a network in which the seed decides all orders.
+func newSeededNetwork(count, regions int, seed uint64) *network {
+	fleet := &network{
+		now: 1000, tables: make(map[string]*mesh.Table), sent: make(map[string]int), rng: rand.New(rand.NewPCG(seed, 7)),
+	}
 	fleet.facts.Services = []pool.Summary{{Service: "s", Slots: 4, FreeSlots: 2}}
 	for i := range count {
 		address := fmt.Sprint("m", i)
 		fleet.tables[address] = mesh.NewTable(fleet.now, mesh.Record{
 			Name: ident.Entry(fmt.Sprint("i", i)), Incarnation: 1, State: mesh.Ready, Mesh: address,
 			Region: ident.Region(fmt.Sprint("r", i%regions)), Zone: ident.Zone(fmt.Sprint("r", i%regions, "-", i/regions%2)), Hop: "h" + address, Front: "f" + address,
-		}, []string{"m0", "m1", "stale"}, uint64(i))
+		}, []string{"m0", "m1", "stale"}, seed<<32+uint64(i))
 	}
 	return fleet
 }
@@ -42,13 +51,26 @@
 func (w *network) round(count int) {
 	for range count {
 		w.now = w.now.Add(roundInterval)
-		for from, t := range w.tables {
+		addresses := slices.Sorted(maps.Keys(w.tables))
+		w.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		for _, from := range addresses {
+			t := w.tables[from]
 			t.RemoveExpired(w.now)
 			w.deliver(from, t.NextRound(w.now, w.facts))
 		}
 	}
 }
 
+// regionSize returns the number of instances of a region.
+func (w *network) regionSize(region ident.Region) (size int) {
+	for _, table := range w.tables {
+		if table.Self().Region == region {
+			size++
+		}
+	}
+	return size
+}
+
 func (w *network) deliver(from string, messages []mesh.OutgoingMessage) {
 	for _, l := range messages {
 		w.sent[from]++
@@ -76,19 +98,22 @@
 // Guards against an instance that divides the use of cold endpoints among too few, because it does
 // not know all instances of its region when that is expected.
 func TestRegionIsKnownOnceSettled(t *testing.T) {
-	for _, n := range []int{4, 34, 117, 300} {
-		fleet := newNetwork(n, 3)
-		fleet.round(25)
-		for address, table := range fleet.tables {
-			require.True(t, table.Settled(fleet.now))
-			want := 0
-			for _, other := range fleet.tables {
-				if other.Self().Region == table.Self().Region {
-					want++
+	for _, c := range []struct{ instances, seeds, loss int }{
+		{4, 1, 0}, {34, 1, 0}, {117, 2, 5}, {300, 2, 0}, {300, 1, 5}, {390, 1, 0},
+	} {
+		t.Run(fmt.Sprintf("instances=%d,loss=%d", c.instances, c.loss), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(c.seeds) {
+				fleet := newSeededNetwork(c.instances, 3, seed+1)
+				fleet.lossy(c.loss)
+				fleet.round(25)
+				for _, address := range slices.Sorted(maps.Keys(fleet.tables)) {
+					table := fleet.tables[address]
+					require.True(t, table.Settled(fleet.now))
+					require.Len(t, table.RegionMembers(), fleet.regionSize(table.Self().Region), "seen from %s, seed %d", address, seed+1)
 				}
 			}
-			require.Len(t, table.RegionMembers(), want, "seen from %s in a fleet of %d", address, n)
-		}
+		})
 	}
 }
 
