fix(mesh): ask other regions for their capacity after a start

Change: during the settle time an instance asks up to 12 instances a round of regions of which fewer than 4 are known to accept hops; replies to other regions carry the capacity.

--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -137,6 +137,10 @@
 	// joinFanout is how many instances of the own region are asked for records in each round with
 	// facts during settleTime.
 	joinFanout = 2
+	// minRegionHops is how many instances of another region an instance wants to know early that
+	// accept hops, and regionRequestFanout how many it asks in each round until then.
+	minRegionHops       = 4
+	regionRequestFanout = 12
 	// maxLoads bounds the endpoint loads in one message; the largest ones are kept.
 	maxLoads = 160
 	// maxCrashReports bounds the crash reports in one message.
--- a/mesh/round.go
+++ b/mesh/round.go
@@ -23,10 +23,12 @@
 	t.round++
 	regional, remote := t.peersByRegion()
 	t.regionPeers, t.remotePeers, t.regionCount = len(regional), len(remote), t.countRegions()
+	t.services = facts.Services
 	messages := append(t.heartbeats(now, regional), t.detect(now, regional)...)
 	if t.round%t.factRounds() == 0 {
 		messages = append(messages, t.factMessages(now, regional, remote, facts)...)
 	}
+	messages = append(messages, t.regionRequests(now, remote)...)
 	return append(messages, t.seedMessages(now)...)
 }
 
@@ -95,6 +97,32 @@
 	}
 }
 
+// regionRequests returns, shortly after the start, requests for the capacity of the regions of which
+// few instances are known to accept hops: the cycle of facts would reach them late.
+func (t *Table) regionRequests(now clock.Time, remote []*peer) (messages []OutgoingMessage) {
+	if t.Settled(now) {
+		return nil
+	}
+	hops := make(map[ident.Region]int)
+	for _, p := range remote {
+		if t.acceptsHops(now, p) {
+			hops[p.Region]++
+		}
+	}
+	var missing []*peer
+	for _, p := range remote {
+		if hops[p.Region] < minRegionHops && !p.down && !t.acceptsHops(now, p) {
+			missing = append(missing, p)
+		}
+	}
+	for _, p := range nextInCycle(missing, &t.requestCursor, regionRequestFanout) {
+		message := t.messageTo(now, p)
+		message.WantReply, message.Services = true, t.services
+		messages = append(messages, OutgoingMessage{p.Mesh, message})
+	}
+	return messages
+}
+
 // seedMessages returns messages to the seeds at which no live instance is known.
 func (t *Table) seedMessages(now clock.Time) (messages []OutgoingMessage) {
 	for _, s := range t.seeds {
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -58,10 +58,15 @@
 
 	regionCursor int
 	remoteCursor int
+	// requestCursor is the position in the instances that are asked for the capacity of their region.
+	requestCursor int
 	// joinCursor is where the next reply to this instance, while it joins, is to list its region.
 	joinCursor int
 	rng        *rand.Rand
 
+	// services is the capacity of this region as of the last round.
+	services []pool.Summary
+
 	// round counts the rounds, and lastRound is when the last one began.
 	round     uint64
 	lastRound clock.Time
@@ -150,10 +155,14 @@
 	}
 }
 
-// reply returns the response to a message: the state of this instance, records for a joining one,
-// and a notice for one that was considered down, so that it refutes that everywhere.
+// reply returns the response to a message: the state of this instance, to another region its
+// capacity, records for a joining instance, and a notice for one that was considered down, so that it
+// refutes that everywhere.
 func (t *Table) reply(now clock.Time, sender *peer, message Message, wasDown bool) OutgoingMessage {
 	reply := t.messageTo(now, sender)
+	if sender.Region != t.self.Region {
+		reply.Services = t.services
+	}
 	if message.Join {
 		reply.Records = t.joinRecords(now, sender, message.JoinFrom)
 	}
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -117,6 +117,29 @@
 	}
 }
 
+// Guards against requests that are refused in the first seconds after the loss of all instances,
+// because their home regions are not known yet.
+func TestRegionsAreKnownSoonAfterStart(t *testing.T) {
+	for _, c := range []struct{ instances, regions, loss int }{
+		{4, 2, 0}, {34, 3, 0}, {34, 3, 5}, {117, 3, 5}, {300, 4, 0}, {300, 4, 5},
+	} {
+		t.Run(fmt.Sprintf("instances=%d,regions=%d,loss=%d", c.instances, c.regions, c.loss), func(t *testing.T) {
+			t.Parallel()
+			fleet := newNetwork(c.instances, c.regions)
+			fleet.lossy(c.loss)
+			fleet.round(5)
+			for _, address := range slices.Sorted(maps.Keys(fleet.tables)) {
+				regions := fleet.tables[address].Regions(fleet.now)
+				require.Len(t, regions, c.regions-1, "seen from %s", address)
+				for _, r := range regions {
+					require.NotEmpty(t, r.Services, "seen from %s", address)
+					require.GreaterOrEqual(t, len(r.Hops), min(2, c.instances/c.regions), "seen from %s", address)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a number of messages per round that grows with the size of the fleet.
 func TestMessagesAreBounded(t *testing.T) {
 	fleet := newNetwork(150, 3)
