perf(pool): apply changes of the list and of loads one by one

Cause: each change of the list, also each heartbeat of a cold endpoint, went through all endpoints of all regions, as did each load report of another instance; the choice hashed the id of each endpoint with the prompt key as text. A cold endpoint was also held back again by each change of another one, since the remaining time of its last heartbeat was counted anew. Change: Pool.Update takes what was changed and removed; the services keep sorted indexes, reports know the endpoints they name, the choice mixes hashes made once and derives the keys of a prompt once. TestColdEndpointIsNotProlonged stands for the second fault.

--- a/gate/data.go
+++ b/gate/data.go
@@ -16,11 +16,11 @@
 	s.recordAnswer()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed, malformed := s.listing.applyUpdate(update, s.source.EndpointPrefix(), s.source.Endpoint)
+	malformed := s.listing.applyUpdate(update, s.source.EndpointPrefix(), s.source.Endpoint)
 	for _, key := range malformed {
 		s.log.Warn("malformed endpoint entry", zap.String("key", key))
 	}
-	s.publishList(changed)
+	s.publishList()
 }
 
 // applyOwnControl applies an update of the configuration that this instance has read itself.
@@ -36,10 +36,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	var changed bool
-	changed, s.listDiffers = s.listing.applyDelta(now, received.List)
+	s.listDiffers = s.listing.applyDelta(now, received.List)
 	if s.listing.revision > 0 {
-		s.publishList(changed)
+		s.publishList()
 	}
 	control := store.Update{Whole: true, Revision: received.ControlRevision, Read: now.Add(-received.ControlAge)}
 	switch {
@@ -53,17 +52,14 @@
 	}
 }
 
-// publishList passes the list to the pool. The lock must be held.
-func (s *state) publishList(changed bool) {
+// publishList passes the changes of the list to the pool. The lock must be held.
+func (s *state) publishList() {
 	now := s.clock.Now()
-	var changes []pool.Change
-	if changed || !s.listed.Load() {
-		infos := s.listing.infos()
-		changes = s.pool.Sync(now, s.listing.read, infos)
-		s.closeUnusedRelays(infos)
-		s.listed.Store(true)
-	} else {
-		changes = s.pool.ConfirmList(now, s.listing.read)
+	updated, removed := s.listing.takeUnpublished()
+	changes := s.pool.Update(now, s.listing.read, updated, removed)
+	s.listed.Store(true)
+	if len(changes) > 0 {
+		s.closeUnusedRelays()
 	}
 	for _, c := range changes {
 		s.log.Info("endpoint "+c.Kind, zap.String("endpoint", string(c.Endpoint)),
--- a/gate/fuzz_test.go
+++ b/gate/fuzz_test.go
@@ -32,7 +32,7 @@
 		if list.revision < 7 {
 			t.Fatal("the list went back")
 		}
-		if len(list.infos()) != len(list.entries) {
+		if changed, _ := list.takeUnpublished(); len(changed) != len(list.entries) {
 			t.Fatal("entries are missing")
 		}
 		list.since(3000, 1, &digests{})
--- a/gate/listing.go
+++ b/gate/listing.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -86,24 +87,34 @@
 	lastChange store.Revision
 	// read is the time as of which the list is complete.
 	read clock.Time
+	// unpublished holds the endpoints that were changed or removed since the last takeUnpublished.
+	unpublished map[ident.Endpoint]struct{}
 }
 
-func newListing() *listing { return &listing{entries: make(map[ident.Endpoint]listEntry)} }
+func newListing() *listing {
+	return &listing{entries: make(map[ident.Endpoint]listEntry), unpublished: make(map[ident.Endpoint]struct{})}
+}
 
-func (l *listing) infos() []pool.Info {
-	infos := make([]pool.Info, 0, len(l.entries))
-	for _, e := range l.entries {
-		infos = append(infos, e.Info)
+// takeUnpublished returns the entries that have changed and the endpoints that were removed since
+// the last call, sorted by id.
+func (l *listing) takeUnpublished() (changed []pool.Info, removed []ident.Endpoint) {
+	for _, id := range slices.Sorted(maps.Keys(l.unpublished)) {
+		if e, ok := l.entries[id]; ok {
+			changed = append(changed, e.Info)
+		} else {
+			removed = append(removed, id)
+		}
 	}
-	return infos
+	clear(l.unpublished)
+	return changed, removed
 }
 
-// put stores an entry and reports whether it has changed.
-func (l *listing) put(entry listEntry) bool {
+// put stores an entry.
+func (l *listing) put(entry listEntry) {
 	id := entry.Info.ID
 	known, exists := l.entries[id]
 	if exists && known.Info == entry.Info {
-		return false
+		return
 	}
 	if exists && known.visible() == entry.visible() {
 		entry.Changed = known.Changed
@@ -113,37 +124,36 @@
 	}
 	l.digests[bucketOf(id)] += entry.hash()
 	l.entries[id] = entry
+	l.unpublished[id] = struct{}{}
 	l.lastChange = max(l.lastChange, entry.Changed)
-	return true
 }
 
-// remove deletes an entry and reports whether it existed.
-func (l *listing) remove(id ident.Endpoint, at store.Revision) bool {
+// remove deletes an entry.
+func (l *listing) remove(id ident.Endpoint, at store.Revision) {
 	known, exists := l.entries[id]
 	if !exists {
-		return false
+		return
 	}
 	l.digests[bucketOf(id)] -= known.hash()
 	delete(l.entries, id)
+	l.unpublished[id] = struct{}{}
 	l.departures = append(l.departures, departure{id, at})
 	l.lastChange = max(l.lastChange, at)
 	if excess := len(l.departures) - maxDepartures; excess > 0 {
 		l.firstRevision = max(l.firstRevision, l.departures[excess-1].revision)
 		l.departures = slices.Clone(l.departures[excess:])
 	}
-	return true
 }
 
 // keepOnly removes the entries in the given buckets, or in all if there are none, whose id is not
-// in kept, and reports whether it removed any.
-func (l *listing) keepOnly(kept map[ident.Endpoint]bool, buckets []int, at store.Revision) (removed bool) {
+// in kept.
+func (l *listing) keepOnly(kept map[ident.Endpoint]bool, buckets []int, at store.Revision) {
 	for id := range l.entries {
 		if kept[id] || len(buckets) > 0 && !slices.Contains(buckets, bucketOf(id)) {
 			continue
 		}
-		removed = l.remove(id, at) || removed
+		l.remove(id, at)
 	}
-	return removed
 }
 
 // advance sets the revision and the time as of which the list is complete.
@@ -154,11 +164,11 @@
 	l.revision, l.read = revision, max(l.read, read)
 }
 
-// applyUpdate applies what a call to the store has shown. It returns the malformed items and
-// reports whether the list has changed. An update older than the list has no effect.
-func (l *listing) applyUpdate(update store.Update, prefix string, parse func(store.Item) (pool.Info, error)) (changed bool, malformed []string) {
+// applyUpdate applies what a call to the store has shown and returns the malformed items. An update
+// older than the list has no effect.
+func (l *listing) applyUpdate(update store.Update, prefix string, parse func(store.Item) (pool.Info, error)) (malformed []string) {
 	if update.Revision < l.revision {
-		return false, nil
+		return nil
 	}
 	kept := make(map[ident.Endpoint]bool, len(update.Items))
 	for _, item := range update.Items {
@@ -166,20 +176,20 @@
 		if err != nil {
 			malformed = append(malformed, item.Key)
 			// A malformed entry names no endpoint to use.
-			changed = l.remove(ident.Endpoint(strings.TrimPrefix(item.Key, prefix)), update.Revision) || changed
+			l.remove(ident.Endpoint(strings.TrimPrefix(item.Key, prefix)), update.Revision)
 			continue
 		}
 		kept[info.ID] = true
-		changed = l.put(listEntry{info, item.Changed}) || changed
+		l.put(listEntry{info, item.Changed})
 	}
 	for _, key := range update.Deleted {
-		changed = l.remove(ident.Endpoint(strings.TrimPrefix(key, prefix)), update.Revision) || changed
+		l.remove(ident.Endpoint(strings.TrimPrefix(key, prefix)), update.Revision)
 	}
 	if update.Whole {
-		changed = l.keepOnly(kept, nil, update.Revision) || changed
+		l.keepOnly(kept, nil, update.Revision)
 	}
 	l.advance(update.Revision, update.Read)
-	return changed, malformed
+	return malformed
 }
 
 // listDelta is the set of changes of the list after a revision, as told to another instance.
@@ -219,24 +229,23 @@
 	return delta
 }
 
-// applyDelta applies the changes received from another instance. It reports whether the list has
-// changed and whether it differs from that of the other instance afterwards. Changes older than the
-// list have no effect.
-func (l *listing) applyDelta(now clock.Time, delta listDelta) (changed, differs bool) {
+// applyDelta applies the changes received from another instance and reports whether the list differs
+// from that of the other instance afterwards. Changes older than the list have no effect.
+func (l *listing) applyDelta(now clock.Time, delta listDelta) (differs bool) {
 	if delta.At < l.revision || l.revision == 0 && !delta.Whole {
-		return false, false
+		return false
 	}
 	kept := make(map[ident.Endpoint]bool, len(delta.Entries))
 	for _, e := range delta.Entries {
 		kept[e.Info.ID] = true
-		changed = l.put(e) || changed
+		l.put(e)
 	}
 	for _, id := range delta.Gone {
-		changed = l.remove(id, delta.At) || changed
+		l.remove(id, delta.At)
 	}
 	if delta.Whole || len(delta.Buckets) > 0 {
-		changed = l.keepOnly(kept, delta.Buckets, delta.At) || changed
+		l.keepOnly(kept, delta.Buckets, delta.At)
 	}
 	l.advance(delta.At, now.Add(-delta.Age))
-	return changed, l.digests.total() != delta.Digest
+	return l.digests.total() != delta.Digest
 }
--- a/gate/listing_test.go
+++ b/gate/listing_test.go
@@ -41,11 +41,14 @@
 	readers  []*listing
 	own      *listing
 	differs  bool
+	// published holds what the third instance has passed on, by key.
+	published map[string]string
 }
 
 func newListWorld() *listWorld {
 	return &listWorld{
 		truth: make(map[string]store.Item), revision: 1, now: 1000, readers: []*listing{newListing(), newListing()}, own: newListing(),
+		published: make(map[string]string),
 	}
 }
 
@@ -91,7 +94,14 @@
 	if w.differs {
 		theirs = &w.own.digests
 	}
-	_, w.differs = w.own.applyDelta(w.now, w.readers[reader].since(w.now, w.own.revision, theirs))
+	w.differs = w.own.applyDelta(w.now, w.readers[reader].since(w.now, w.own.revision, theirs))
+	changed, removed := w.own.takeUnpublished()
+	for _, i := range changed {
+		w.published["e/"+string(i.ID)] = i.Address
+	}
+	for _, id := range removed {
+		delete(w.published, "e/"+string(id))
+	}
 }
 
 // Guards, over random interleavings of changes, reads and watch calls by two instances and queries
@@ -127,6 +137,7 @@
 		world.query(last)
 		world.query(last) // the second query repairs a digest mismatch found by the first
 		require.Equal(t, values(world.truth), addresses(world.own))
+		require.Equal(t, values(world.truth), world.published)
 	})
 }
 
@@ -138,6 +149,14 @@
 	return found
 }
 
+// requireUnpublished checks the number of entries that were changed and removed since the last call.
+func requireUnpublished(t *testing.T, list *listing, changed, removed int) {
+	t.Helper()
+	changedInfos, removedIDs := list.takeUnpublished()
+	require.Len(t, changedInfos, changed)
+	require.Len(t, removedIDs, removed)
+}
+
 func addresses(list *listing) map[string]string {
 	found := make(map[string]string)
 	for id, e := range list.entries {
@@ -173,12 +192,12 @@
 	delta := reader.since(0, 0, nil)
 	require.True(t, delta.Whole)
 	delta.Entries = delta.Entries[:2998] // two entries are lost
-	_, differs := other.applyDelta(0, delta)
+	differs := other.applyDelta(0, delta)
 	require.True(t, differs)
 	repair := reader.since(0, other.revision, &other.digests)
 	require.False(t, repair.Whole)
 	require.Less(t, len(repair.Entries), 200)
-	_, differs = other.applyDelta(0, repair)
+	differs = other.applyDelta(0, repair)
 	require.False(t, differs)
 	require.Equal(t, addresses(reader), addresses(other))
 }
@@ -191,14 +210,15 @@
 	stale.applyUpdate(wholeUpdate(items, 5, 10), "e/", parseTestItem)
 	current.applyUpdate(wholeUpdate(items, 5, 10), "e/", parseTestItem)
 	current.applyUpdate(store.Update{Revision: 6, Deleted: []string{"e/b"}, Read: 20}, "e/", parseTestItem)
+	requireUnpublished(t, current, 1, 1)
 	want := maps.Clone(current.entries)
 	for _, delta := range []listDelta{stale.since(20, 0, nil), stale.since(20, 4, nil), stale.since(20, 5, &current.digests)} {
-		changed, _ := current.applyDelta(20, delta)
-		require.False(t, changed)
+		current.applyDelta(20, delta)
+		requireUnpublished(t, current, 0, 0)
 		require.Equal(t, want, current.entries)
 	}
-	changed, _ := current.applyUpdate(wholeUpdate(items, 5, 10), "e/", parseTestItem)
-	require.False(t, changed)
+	current.applyUpdate(wholeUpdate(items, 5, 10), "e/", parseTestItem)
+	requireUnpublished(t, current, 0, 0)
 	require.Equal(t, want, current.entries)
 }
 
@@ -206,8 +226,9 @@
 func TestMalformedEntryNamesNoEndpoint(t *testing.T) {
 	list := newListing()
 	list.applyUpdate(store.Update{Whole: true, Revision: 1, Items: []store.Item{{Key: "e/a", Value: []byte("x"), Changed: 1}}}, "e/", parseTestItem)
-	changed, malformed := list.applyUpdate(store.Update{Revision: 2, Items: []store.Item{{Key: "e/a", Changed: 2}}}, "e/", parseTestItem)
-	require.True(t, changed)
+	requireUnpublished(t, list, 1, 0)
+	malformed := list.applyUpdate(store.Update{Revision: 2, Items: []store.Item{{Key: "e/a", Changed: 2}}}, "e/", parseTestItem)
+	requireUnpublished(t, list, 0, 1)
 	require.Equal(t, []string{"e/a"}, malformed)
 	require.Empty(t, list.entries)
 }
--- a/gate/state.go
+++ b/gate/state.go
@@ -92,10 +92,10 @@
 func (s *state) ready() bool { return s.table.Load() != nil && s.listed.Load() }
 
 // closeUnusedRelays closes the connections to addresses that no longer belong to an endpoint.
-func (s *state) closeUnusedRelays(infos []pool.Info) {
-	used := make(map[string]bool, len(infos))
-	for _, i := range infos {
-		used[i.Address] = true
+func (s *state) closeUnusedRelays() {
+	used := make(map[string]bool, len(s.listing.entries))
+	for _, e := range s.listing.entries {
+		used[e.Info.Address] = true
 	}
 	maps.DeleteFunc(s.relays, func(address string, r *relay.Pool) bool {
 		if used[address] || r.Open() > 0 {
--- a/pool/cache.go
+++ b/pool/cache.go
@@ -20,24 +20,25 @@
 	totalTokens ident.Tokens
 }
 
-type cacheEntry struct {
-	key    uint64
+// prefix is the beginning of a prompt, up to the end of one of its parts.
+type prefix struct {
+	// key covers all parts: an engine reuses a part only after an identical prefix.
+	key uint64
+	// tokens is the length of the last part.
 	tokens ident.Tokens
 }
 
-// walkPrefixes visits the parts of a prompt with a key that covers the part and all parts before
-// it: an engine reuses a part only after an identical prefix. It stops when visit returns false.
-func walkPrefixes(parts []PromptPart, visit func(key uint64, part PromptPart) bool) {
+// prefixesOf returns the prefixes of a prompt, from the shortest on.
+func prefixesOf(parts []PromptPart) (prefixes []prefix) {
 	var buffer [16]byte
 	key := uint64(0)
 	for _, p := range parts {
 		putUint64(buffer[:8], key)
 		putUint64(buffer[8:], p.ID)
 		key = xxhash.Sum64(buffer[:])
-		if !visit(key, p) {
-			return
-		}
+		prefixes = append(prefixes, prefix{key, p.Tokens})
 	}
+	return prefixes
 }
 
 func putUint64(buffer []byte, value uint64) {
@@ -46,18 +47,14 @@
 	}
 }
 
-// cachedTokens returns the length in tokens of the longest cached prefix of the prompt.
-func (c *prefixCache) cachedTokens(parts []PromptPart) (tokens ident.Tokens) {
-	if c.entries == nil {
-		return 0
-	}
-	walkPrefixes(parts, func(key uint64, part PromptPart) bool {
-		if c.entries[key] == nil {
-			return false
+// cachedTokens returns the length in tokens of the longest of the prefixes that is cached.
+func (c *prefixCache) cachedTokens(prefixes []prefix) (tokens ident.Tokens) {
+	for _, p := range prefixes {
+		if c.entries[p.key] == nil {
+			break
 		}
-		tokens += part.Tokens
-		return true
-	})
+		tokens += p.tokens
+	}
 	return tokens
 }
 
@@ -67,18 +64,17 @@
 	if c.entries == nil {
 		c.entries, c.lru = make(map[uint64]*list.Element), list.New()
 	}
-	walkPrefixes(parts, func(key uint64, part PromptPart) bool {
-		if element := c.entries[key]; element != nil {
+	for _, p := range prefixesOf(parts) {
+		if element := c.entries[p.key]; element != nil {
 			c.lru.MoveToFront(element)
-			return true
+			continue
 		}
-		c.entries[key] = c.lru.PushFront(cacheEntry{key, part.Tokens})
-		c.totalTokens += part.Tokens
-		return true
-	})
+		c.entries[p.key] = c.lru.PushFront(p)
+		c.totalTokens += p.tokens
+	}
 	limit := ident.Tokens(float64(kvTokens) * cacheFraction)
 	for c.totalTokens > limit && c.lru.Len() > 1 {
-		evicted := c.lru.Remove(c.lru.Back()).(cacheEntry)
+		evicted := c.lru.Remove(c.lru.Back()).(prefix)
 		delete(c.entries, evicted.key)
 		c.totalTokens -= evicted.tokens
 	}
@@ -92,11 +88,8 @@
 	if len(parts) < 2 {
 		return 0
 	}
-	walkPrefixes(parts[:len(parts)-1], func(k uint64, _ PromptPart) bool {
-		key = k
-		return true
-	})
-	return key
+	prefixes := prefixesOf(parts[:len(parts)-1])
+	return prefixes[len(prefixes)-1].key
 }
 
 // sharedPrefixTokens returns the size of the parts that other requests may share.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -2,9 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -81,6 +78,8 @@
 	// prompt's shared prefix, or "" if there is no shared prefix.
 	AffinityRegion ident.Region
 	affinity       [2]*endpoint
+	// prefixes are the prefixes of the prompt, from the shortest on.
+	prefixes []prefix
 	// loads holds the load of the region's endpoints, in their order.
 	loads []endpointLoad
 	// prefillWeight weighs prefill time against waiting time.
@@ -91,7 +90,7 @@
 func (p *Pool) Plan(now clock.Time, request Request) Plan {
 	service := p.service(request.Service)
 	plan := Plan{
-		Request: request, affinity: topByAffinity(service.all, request),
+		Request: request, affinity: topByAffinity(service.all, request), prefixes: prefixesOf(request.Parts),
 		loads: make([]endpointLoad, len(service.regional)), prefillWeight: basePrefillWeight,
 	}
 	if best := plan.affinity[0]; best != nil && request.Engine {
@@ -180,13 +179,12 @@
 	if key == 0 {
 		return best
 	}
-	keyText := strconv.FormatUint(key, 16)
 	var highestHash [2]uint64
 	for _, e := range endpoints {
 		if e.Leaving || e.delisted || len(request.HomeRegions) > 0 && !slices.Contains(request.HomeRegions, e.Region) {
 			continue
 		}
-		hash := xxhash.Sum64String(keyText + string(e.ID))
+		hash := mixHash(key ^ e.idHash)
 		switch {
 		case best[0] == nil || hash > highestHash[0]:
 			best[0], best[1] = e, best[0]
@@ -198,6 +196,13 @@
 	return best
 }
 
+// mixHash spreads the bits of a combined hash (the finalizer of SplitMix64).
+func mixHash(hash uint64) uint64 {
+	hash = (hash ^ hash>>30) * 0xbf58476d1ce4e5b9
+	hash = (hash ^ hash>>27) * 0x94d049bb133111eb
+	return hash ^ hash>>31
+}
+
 // EstimateRegion estimates the wait, the delay and the cost of a request in another region from
 // that region's summary. Delay and cost include the wait.
 func (p *Pool) EstimateRegion(plan Plan, region ident.Region, summary Summary) (wait, delay, cost clock.Span) {
@@ -227,7 +232,7 @@
 		choice.Wait, choice.Delay, choice.Cost = clock.Span(wait), clock.Span(delay), clock.Span(delay)
 		return choice, delay
 	}
-	choice.UncachedTokens = max(0, plan.PromptTokens-candidate.cache.cachedTokens(plan.Parts))
+	choice.UncachedTokens = max(0, plan.PromptTokens-candidate.cache.cachedTokens(plan.prefixes))
 	uncachedTokens := float64(choice.UncachedTokens) - (1-missFraction)*min(float64(choice.UncachedTokens), float64(sharedPrefixTokens(plan.Parts)))
 	memoryNeeded := load.memoryTokens + choice.UncachedTokens + plan.MaxOutputTokens
 	if limit := float64(plan.KVTokens) * memoryFraction; limit > 0 && float64(memoryNeeded) > limit {
@@ -257,6 +262,8 @@
 	if target == nil {
 		target = newEndpoint(Info{ID: choice.Endpoint, Service: request.Service})
 		target.delisted = true
+	} else {
+		p.active[target.ID] = target
 	}
 	send := &Send{endpoint: target, request: request, choice: choice, started: now}
 	target.sends[send] = struct{}{}
@@ -309,6 +316,9 @@
 		return
 	}
 	delete(target.sends, send)
+	if len(target.sends) == 0 && p.active[target.ID] == target {
+		delete(p.active, target.ID)
+	}
 	if send.request.Engine {
 		if !send.answered {
 			target.prefillBacklog[clampPriority(send.request.Priority)] -= send.choice.UncachedTokens
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 )
@@ -21,11 +23,10 @@
 // endpoint is the state of one endpoint as known to this instance.
 type endpoint struct {
 	Info
+	// idHash is the hash of the id.
+	idHash uint64
 	// delisted reports whether the endpoint has been removed from the published list.
 	delisted bool
-	// unlisted reports whether the endpoint is kept although the list, after an outage, does not have
-	// it.
-	unlisted bool
 	// missingSince is when the endpoint was removed from the list; 0 if it is listed.
 	missingSince clock.Time
 	// coldUntil is when the endpoint stops being cold.
@@ -74,7 +75,7 @@
 
 func newEndpoint(info Info) *endpoint {
 	return &endpoint{
-		Info: info, sends: make(map[*Send]struct{}), peerLoads: make(map[ident.Entry]PeerLoad), pace: 1,
+		Info: info, idHash: xxhash.Sum64String(string(info.ID)), sends: make(map[*Send]struct{}), peerLoads: make(map[ident.Entry]PeerLoad), pace: 1,
 	}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -39,8 +39,13 @@
 	// graceUntil is the time until which endpoints that are missing from the list after an outage
 	// are kept.
 	graceUntil clock.Time
-	// unlisted is the number of endpoints that are kept although the list doesn't have them.
-	unlisted int
+	// missing holds the endpoints that the list does not have: those that are delisted, and those
+	// that are kept for delistGrace.
+	missing map[ident.Endpoint]*endpoint
+	// active holds the endpoints with sends of this instance.
+	active map[ident.Endpoint]*endpoint
+	// peerReports holds the endpoints of the last report of each other instance.
+	peerReports map[ident.Entry][]*endpoint
 	// members are the instances of the region that divide cold endpoints and connections among
 	// themselves, including this one.
 	members []ident.Entry
@@ -74,7 +79,8 @@
 func New(config Config) *Pool {
 	return &Pool{
 		config: config, endpoints: make(map[ident.Endpoint]*endpoint), services: make(map[ident.Service]*serviceState),
-		evacuated: make(map[ident.Zone]bool), rotation: config.Seed,
+		evacuated: make(map[ident.Zone]bool), rotation: config.Seed, missing: make(map[ident.Endpoint]*endpoint),
+		active: make(map[ident.Endpoint]*endpoint), peerReports: make(map[ident.Entry][]*endpoint),
 	}
 }
 
@@ -89,48 +95,32 @@
 	Kind string
 }
 
-// Sync applies a list that was read at the given time and returns the changes. Endpoints that are
-// missing shortly after an outage of the list are kept for delistGrace, since their entries may
-// have expired during the outage.
-func (p *Pool) Sync(now, read clock.Time, list []Info) (changes []Change) {
+// Update applies the endpoints of the list that were changed or removed since the last call and
+// returns the changes. The list was complete as of the time read. Endpoints that are missing shortly
+// after an outage of the list are kept for delistGrace, since their entries may have expired during
+// the outage; a later call without changes drops them.
+func (p *Pool) Update(now, read clock.Time, changed []Info, removed []ident.Endpoint) (changes []Change) {
 	p.recordListed(read)
-	seen := make(map[ident.Endpoint]bool, len(list))
-	for _, i := range list {
-		seen[i.ID] = true
-		if change := p.syncEndpoint(now, i); change != "" {
-			changes = append(changes, Change{i.ID, i.Service, change})
+	for _, i := range changed {
+		if kind := p.putEndpoint(now, i); kind != "" {
+			changes = append(changes, Change{i.ID, i.Service, kind})
 		}
 	}
-	p.unlisted = 0
-	for id, e := range p.endpoints {
-		if seen[id] {
-			continue
-		}
-		if kind := p.markMissing(now, e); kind != "" {
-			changes = append(changes, Change{id, e.Service, kind})
+	for _, id := range removed {
+		if e := p.endpoints[id]; e != nil {
+			p.missing[id] = e
 		}
 	}
-	p.rebuildIndex()
-	return changes
+	return append(changes, p.markAllMissing(now)...)
 }
 
-// ConfirmList records that the list was still current at the given time. It returns the endpoints
-// that were kept after an outage and are still missing after delistGrace.
-func (p *Pool) ConfirmList(now, read clock.Time) (changes []Change) {
-	p.recordListed(read)
-	if p.unlisted == 0 {
-		return nil
-	}
-	p.unlisted = 0
-	for id, e := range p.endpoints {
-		if !e.unlisted {
-			continue
-		}
+// markAllMissing records for each endpoint that the list does not have how long it has been missing.
+func (p *Pool) markAllMissing(now clock.Time) (changes []Change) {
+	for id, e := range p.missing {
 		if kind := p.markMissing(now, e); kind != "" {
 			changes = append(changes, Change{id, e.Service, kind})
 		}
 	}
-	p.rebuildIndex()
 	return changes
 }
 
@@ -142,7 +132,19 @@
 	p.lastListed = max(p.lastListed, read)
 }
 
-func (p *Pool) syncEndpoint(now clock.Time, info Info) string {
+// putEndpoint applies an entry of the list and keeps the index of the services.
+func (p *Pool) putEndpoint(now clock.Time, info Info) string {
+	known := p.endpoints[info.ID]
+	if known != nil && !known.delisted && (known.Service != info.Service || known.Region != info.Region) {
+		p.removeFromIndex(known)
+	}
+	kind := p.mergeEndpoint(now, info)
+	delete(p.missing, info.ID)
+	p.addToIndex(p.endpoints[info.ID])
+	return kind
+}
+
+func (p *Pool) mergeEndpoint(now clock.Time, info Info) string {
 	known := p.endpoints[info.ID]
 	if known == nil {
 		known = newEndpoint(info)
@@ -167,7 +169,7 @@
 	}
 	// An endpoint that is leaving stays so even if an older entry is read afterwards.
 	info.Leaving = info.Leaving || known.Leaving && known.Incarnation == info.Incarnation && !known.delisted
-	known.Info, known.delisted, known.unlisted, known.missingSince = info, false, false, 0
+	known.Info, known.delisted, known.missingSince = info, false, 0
 	if info.ColdRemaining > 0 {
 		known.coldUntil = now.Add(info.ColdRemaining)
 	}
@@ -179,34 +181,50 @@
 	case missing.delisted:
 		if len(missing.sends) == 0 && now.Sub(missing.missingSince) > delistedRetention {
 			delete(p.endpoints, missing.ID)
+			delete(p.missing, missing.ID)
 		}
 		return ""
 	case now.Before(p.graceUntil):
-		missing.unlisted = true
-		p.unlisted++
 		return ""
 	default:
-		missing.delisted, missing.unlisted, missing.missingSince = true, false, now
+		p.removeFromIndex(missing)
+		missing.delisted, missing.missingSince = true, now
 		missing.cache.clear()
 		return "gone"
 	}
 }
 
-func (p *Pool) rebuildIndex() {
-	for _, service := range p.services {
-		service.regional, service.all = service.regional[:0], service.all[:0]
+func compareID(e *endpoint, id ident.Endpoint) int { return cmp.Compare(e.ID, id) }
+
+// addToIndex adds an endpoint to the lists of its service, which are sorted by id, unless it is
+// there already.
+func (p *Pool) addToIndex(e *endpoint) {
+	service := p.service(e.Service)
+	service.all = insertEndpoint(service.all, e)
+	if e.Region == p.config.Region {
+		service.regional = insertEndpoint(service.regional, e)
 	}
-	for _, id := range slices.Sorted(maps.Keys(p.endpoints)) {
-		known := p.endpoints[id]
-		if known.delisted {
-			continue
-		}
-		service := p.service(known.Service)
-		service.all = append(service.all, known)
-		if known.Region == p.config.Region {
-			service.regional = append(service.regional, known)
-		}
+}
+
+// removeFromIndex removes an endpoint from the lists of its service.
+func (p *Pool) removeFromIndex(e *endpoint) {
+	service := p.service(e.Service)
+	service.all = deleteEndpoint(service.all, e)
+	service.regional = deleteEndpoint(service.regional, e)
+}
+
+func insertEndpoint(list []*endpoint, e *endpoint) []*endpoint {
+	if i, found := slices.BinarySearchFunc(list, e.ID, compareID); !found {
+		return slices.Insert(list, i, e)
 	}
+	return list
+}
+
+func deleteEndpoint(list []*endpoint, e *endpoint) []*endpoint {
+	if i, found := slices.BinarySearchFunc(list, e.ID, compareID); found {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
 }
 
 func (p *Pool) service(name ident.Service) *serviceState {
@@ -238,28 +256,37 @@
 func (p *Pool) SetMembers(names []ident.Entry, settled bool) {
 	slices.Sort(names)
 	p.members, p.settled = names, settled
+	maps.DeleteFunc(p.peerReports, func(name ident.Entry, _ []*endpoint) bool {
+		_, member := slices.BinarySearch(names, name)
+		return !member
+	})
 }
 
-// SetPeerLoads records the load that another instance of the region reports, by endpoint.
+// SetPeerLoads records the load that another instance of the region reports, by endpoint. The
+// report replaces the previous one.
 func (p *Pool) SetPeerLoads(now clock.Time, from ident.Entry, loads map[ident.Endpoint]PeerLoad) {
-	for id, e := range p.endpoints {
-		load, ok := loads[id]
-		if !ok {
+	reported := p.peerReports[from]
+	for _, e := range reported {
+		if _, ok := loads[e.ID]; !ok {
 			delete(e.peerLoads, from)
-			continue
 		}
-		load.Received = now
-		e.peerLoads[from] = load
 	}
+	reported = reported[:0]
+	for id, load := range loads {
+		if e := p.endpoints[id]; e != nil {
+			load.Received = now
+			e.peerLoads[from] = load
+			reported = append(reported, e)
+		}
+	}
+	p.peerReports[from] = reported
 }
 
 // OwnLoads returns the load of this instance by endpoint, to be reported to the other instances.
 func (p *Pool) OwnLoads() map[ident.Endpoint]PeerLoad {
-	loads := make(map[ident.Endpoint]PeerLoad)
-	for id, e := range p.endpoints {
-		if len(e.sends) > 0 {
-			loads[id] = PeerLoad{Count: len(e.sends), PrefillBacklog: e.prefillBacklog, MemoryTokens: e.memoryTokens}
-		}
+	loads := make(map[ident.Endpoint]PeerLoad, len(p.active))
+	for id, e := range p.active {
+		loads[id] = PeerLoad{Count: len(e.sends), PrefillBacklog: e.prefillBacklog, MemoryTokens: e.memoryTokens}
 	}
 	return loads
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -28,7 +28,7 @@
 func newPool(list ...pool.Info) *pool.Pool {
 	p := pool.New(pool.Config{Self: "i1", Region: "r1"})
 	p.SetMembers([]ident.Entry{"i1"}, true)
-	p.Sync(start, start, list)
+	p.Update(start, start, list, nil)
 	return p
 }
 
@@ -48,9 +48,9 @@
 		change  func(*pool.Pool)
 		request pool.Request
 	}{
-		"leaving":   {func(p *pool.Pool) { p.Sync(start, start, []pool.Info{info("a"), leaving}) }, plainRequest},
-		"gone":      {func(p *pool.Pool) { p.Sync(start, start, []pool.Info{info("a")}) }, plainRequest},
-		"region":    {func(p *pool.Pool) { p.Sync(start, start, []pool.Info{info("a"), remote}) }, plainRequest},
+		"leaving":   {func(p *pool.Pool) { p.Update(start, start, []pool.Info{leaving}, nil) }, plainRequest},
+		"gone":      {func(p *pool.Pool) { p.Update(start, start, nil, []ident.Endpoint{"b"}) }, plainRequest},
+		"region":    {func(p *pool.Pool) { p.Update(start, start, []pool.Info{remote}, nil) }, plainRequest},
 		"avoided":   {func(*pool.Pool) {}, pool.Request{Service: "s", ExcludedEndpoints: []ident.Endpoint{"b"}}},
 		"evacuated": {func(p *pool.Pool) { p.SetEvacuatedZones([]ident.Zone{"z2"}) }, plainRequest},
 	} {
@@ -76,12 +76,12 @@
 	leaving := info("a")
 	leaving.Leaving = true
 	p := newPool(leaving)
-	p.Sync(start, start, []pool.Info{info("a")})
+	p.Update(start, start, []pool.Info{info("a")}, nil)
 	_, ok := choose(p, start, plainRequest)
 	require.False(t, ok)
 	restarted := info("a")
 	restarted.Incarnation = 7
-	p.Sync(start, start, []pool.Info{restarted})
+	p.Update(start, start, []pool.Info{restarted}, nil)
 	_, ok = choose(p, start, plainRequest)
 	require.True(t, ok)
 }
@@ -91,27 +91,43 @@
 func TestAbsenceAfterOutage(t *testing.T) {
 	p := newPool(info("a"))
 	back := start.Add(6 * clock.Second)
-	p.Sync(back, back, nil)
+	p.Update(back, back, nil, []ident.Endpoint{"a"})
 	_, ok := choose(p, back, plainRequest)
 	require.True(t, ok, "the entry may have expired during the outage")
 	later := back.Add(2500)
-	p.Sync(later, back.Add(1500), nil)
-	p.Sync(later, later, nil)
+	p.Update(later, back.Add(1500), nil, nil)
+	p.Update(later, later, nil, nil)
 	_, ok = choose(p, later, plainRequest)
 	require.False(t, ok, "still not listed after the grace period")
 }
 
+// Guards against a cold endpoint that is held back longer because other endpoints change.
+func TestColdEndpointIsNotProlonged(t *testing.T) {
+	cold := info("a")
+	cold.ColdRemaining = 1000
+	p := newPool(cold, info("b"))
+	request := pool.Request{Service: "s", Target: 500, ColdRate: 1, ExcludedEndpoints: []ident.Endpoint{"b"}}
+	p.SetMembers([]ident.Entry{"i1", "i2"}, false) // a cold endpoint has no owner yet
+	leaving := info("b")
+	leaving.Leaving = true
+	p.Update(start.Add(900), start.Add(900), []pool.Info{leaving}, nil)
+	_, ok := choose(p, start.Add(950), request)
+	require.False(t, ok)
+	_, ok = choose(p, start.Add(1000), request)
+	require.True(t, ok)
+}
+
 // Guards against an absent endpoint that stays in use because the list does not change again after
 // the outage.
 func TestAbsenceIsNoticedWithoutAnotherChange(t *testing.T) {
 	p := newPool(info("a"))
 	back := start.Add(6 * clock.Second)
-	p.Sync(back, back, nil)
-	require.Empty(t, p.ConfirmList(back.Add(1000), back.Add(1000)))
+	p.Update(back, back, nil, []ident.Endpoint{"a"})
+	require.Empty(t, p.Update(back.Add(1000), back.Add(1000), nil, nil))
 	_, ok := choose(p, back.Add(1000), plainRequest)
 	require.True(t, ok, "the entry may have expired during the outage")
 	later := back.Add(2400)
-	require.Equal(t, []pool.Change{{Endpoint: "a", Service: "s", Kind: "gone"}}, p.ConfirmList(later, later))
+	require.Equal(t, []pool.Change{{Endpoint: "a", Service: "s", Kind: "gone"}}, p.Update(later, later, nil, nil))
 	_, ok = choose(p, later, plainRequest)
 	require.False(t, ok, "still not listed after the grace period")
 }
@@ -156,7 +172,7 @@
 		for _, n := range names {
 			p := pool.New(pool.Config{Self: n, Region: "r1"})
 			p.SetMembers(append([]ident.Entry(nil), names...), rapid.Bool().Draw(t, "settled"))
-			p.Sync(start, start, []pool.Info{cold})
+			p.Update(start, start, []pool.Info{cold}, nil)
 			all = append(all, p)
 		}
 		request := plainRequest
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 
@@ -22,6 +23,8 @@
 	departed  map[ident.Endpoint]int64
 	evacuated map[ident.Zone]bool
 	running   []*pool.Send
+	// published is the list as of the last update.
+	published map[ident.Endpoint]pool.Info
 }
 
 func (m *model) id() ident.Endpoint {
@@ -29,11 +32,20 @@
 }
 
 func (m *model) sync() {
-	var list []pool.Info
-	for _, i := range m.listed {
-		list = append(list, i)
+	var changed []pool.Info
+	var removed []ident.Endpoint
+	for id, i := range m.listed {
+		if m.published[id] != i {
+			changed = append(changed, i)
+		}
+	}
+	for id := range m.published {
+		if _, ok := m.listed[id]; !ok {
+			removed = append(removed, id)
+		}
 	}
-	m.pool.Sync(m.now, m.now, list)
+	m.pool.Update(m.now, m.now, changed, removed)
+	m.published = maps.Clone(m.listed)
 }
 
 // change applies one random change to the list, the evacuated zones or the health checks.
