perf(mesh): send other regions the own record and one more

Cause: a change of state went to each instance with four records of others, at 302 instances 36 MB between regions when all start; messages with facts to other regions were two thirds gossip. Change: state messages carry no gossip, messages to other regions one record. Result: TestMessagesToOtherRegionsAreSmall fails before and passes after; the tests of membership and detection at 4 to 390 instances hold.

--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -129,9 +129,11 @@
 	// fleet.
 	regionFanout = 6
 	remoteFanout = 2
-	// maxGossipRecords is the maximum number of other instances' records in a message, and
-	// maxJoinRegional and maxJoinOthers the same in the reply to an instance that joins.
+	// maxGossipRecords is the maximum number of other instances' records in a message within the
+	// region, maxRemoteRecords the same to other regions, and maxJoinRegional and maxJoinOthers that
+	// in the reply to an instance that joins.
 	maxGossipRecords = 4
+	maxRemoteRecords = 1
 	maxJoinRegional  = 32
 	maxJoinOthers    = 12
 	// joinFanout is how many instances of the own region are asked for records in each round with
--- a/mesh/round.go
+++ b/mesh/round.go
@@ -79,24 +79,36 @@
 	return visible
 }
 
-// StateMessages returns messages to all instances that publish the state of this one.
+// StateMessages returns messages to all instances that publish the state of this one. They carry no
+// gossip: their number is that of the instances.
 func (t *Table) StateMessages(now clock.Time) (messages []OutgoingMessage) {
 	t.self.Counter++
 	for _, name := range slices.Sorted(maps.Keys(t.peers)) {
 		p := t.peers[name]
-		messages = append(messages, OutgoingMessage{p.Mesh, t.messageTo(now, p)})
+		messages = append(messages, OutgoingMessage{p.Mesh, t.plainMessage(now, p)})
 	}
 	return messages
 }
 
-func (t *Table) messageTo(now clock.Time, receiver *peer) Message {
+// plainMessage returns a message with the state of this instance only.
+func (t *Table) plainMessage(now clock.Time, receiver *peer) Message {
 	return Message{
-		From: t.self, Receiver: receiver.Name,
-		HearsReceiver: now.Sub(receiver.lastMessage) < t.aliveTimeout(receiver), Records: t.gossipSample(now, receiver.Name, maxGossipRecords),
+		From: t.self, Receiver: receiver.Name, HearsReceiver: now.Sub(receiver.lastMessage) < t.aliveTimeout(receiver),
 		Sent: now, EchoedTime: receiver.peerSendTime, HoldTime: now.Sub(receiver.echoHeldFrom),
 	}
 }
 
+// messageTo returns a message with the state of this instance and with gossip.
+func (t *Table) messageTo(now clock.Time, receiver *peer) Message {
+	count := maxGossipRecords
+	if receiver.Region != t.self.Region {
+		count = maxRemoteRecords
+	}
+	message := t.plainMessage(now, receiver)
+	message.Records = t.gossipSample(now, receiver.Name, count)
+	return message
+}
+
 // regionRequests returns, shortly after the start, requests for the capacity of the regions of which
 // few instances are known to accept hops: the cycle of facts would reach them late.
 func (t *Table) regionRequests(now clock.Time, remote []*peer) (messages []OutgoingMessage) {
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -151,6 +151,26 @@
 	}
 }
 
+// Guards against a change of state that costs more than a short message for each instance, and against
+// messages to other regions that are mostly gossip.
+func TestMessagesToOtherRegionsAreSmall(t *testing.T) {
+	fleet := newNetwork(150, 3)
+	fleet.round(30)
+	table := fleet.tables["m0"]
+	states := table.StateMessages(fleet.now)
+	require.Len(t, states, 149)
+	for _, l := range states {
+		require.Empty(t, l.Message.Records)
+	}
+	for range 2 { // facts are sent in every second round
+		for _, l := range table.NextRound(fleet.now, fleet.facts) {
+			if other := fleet.tables[l.Address]; other != nil && other.Self().Region != table.Self().Region {
+				require.LessOrEqual(t, len(l.Message.Records), 1)
+			}
+		}
+	}
+}
+
 // Guards against an instance that is listed as alive although it is gone, leaving or restarted
 // under its name, and against shared limits that are divided by too few instances while one is
 // unreachable.
