feat(core): run a suspect at one entry at a time

Reports by gossip are up to a push old, so no entry can know. Change: a suspect runs only with a lease. One entry keeps it, chosen by rendezvous hashing; the request for it carries the crash report, its return what the run showed. Suspects get no second attempt beside the first one any more.

--- a/core/action.go
+++ b/core/action.go
@@ -4,6 +4,7 @@
 	"github.com/tanagerbridge/tanagerbridge/assign"
 	"github.com/tanagerbridge/tanagerbridge/caller"
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/ledger"
 	"github.com/tanagerbridge/tanagerbridge/member"
@@ -77,6 +78,18 @@
 	Ticket  ticket.Ticket
 }
 
+// QueryLease requests the lease of a suspect from its owner.
+type QueryLease struct {
+	Owner ident.Entry
+	Lease crash.LeaseRequest
+}
+
+// ReturnLease returns the lease of a suspect to its owner.
+type ReturnLease struct {
+	Owner ident.Entry
+	Lease crash.LeaseRequest
+}
+
 // Order tells an engine to load a model. The shell must check MaySendOrder right before
 // sending it and report the result with OrderEnded.
 type Order struct {
@@ -86,14 +99,16 @@
 // PushGossip sends the gossip to the peers immediately instead of with the next probe.
 type PushGossip struct{}
 
-func (Dispatch) action()   {}
-func (Forward) action()    {}
-func (Cancel) action()     {}
-func (Refuse) action()     {}
-func (Deliver) action()    {}
-func (QueryOwner) action() {}
-func (PushGossip) action() {}
-func (Order) action()      {}
+func (Dispatch) action()    {}
+func (Forward) action()     {}
+func (Cancel) action()      {}
+func (Refuse) action()      {}
+func (Deliver) action()     {}
+func (QueryOwner) action()  {}
+func (QueryLease) action()  {}
+func (ReturnLease) action() {}
+func (PushGossip) action()  {}
+func (Order) action()       {}
 
 // Refusal is the error response to a request that gets no answer from an endpoint.
 type Refusal struct {
--- a/core/core.go
+++ b/core/core.go
@@ -66,9 +66,11 @@
 	linkBounds  []bundle.Link
 	links       []linkBudget
 	suspects    *crash.Suspects
-	ledger      *ledger.Ledger
-	burn        *burn.Meter
-	planner     *assign.Planner
+	// leases are those of the suspects that this entry owns.
+	leases  *crash.Leases
+	ledger  *ledger.Ledger
+	burn    *burn.Meter
+	planner *assign.Planner
 	// lastPlanned is when model orders were last planned.
 	lastPlanned clock.Time
 	remoteLoads remoteLoads
@@ -107,6 +109,7 @@
 		policy:      cfg.Policy,
 		fleet:       fleet.New(fleet.Config{Region: cfg.Region, Seed: cfg.Seed}),
 		suspects:    crash.New(crash.Config{Term: suspicionTerm}),
+		leases:      crash.NewLeases(),
 		requests:    newRequestTable(),
 		addresses:   make(map[ident.Entry]string),
 	}
@@ -135,6 +138,8 @@
 		c.handleCallerDisconnected(now, e.Request)
 	case OwnerReplied:
 		c.handleOwnerReply(now, e)
+	case LeaseReplied:
+		c.handleLeaseReplied(now, e)
 	default:
 		c.applyEnvironment(now, e)
 	}
--- a/core/ended.go
+++ b/core/ended.go
@@ -91,7 +91,7 @@
 	}
 	c.recordSample(now, request, event.TokenInterval, true, caller.RanYes)
 	c.counts.Completed++
-	c.requests.remove(request.Request)
+	c.endRequest(now, request)
 	if !request.isEngine {
 		c.emit(Deliver{Request: request.Request, Answer: event.Answer})
 	}
@@ -214,7 +214,7 @@
 func (c *Core) fail(now clock.Time, request *activeRequest, text string) {
 	c.counts.Failed++
 	c.recordSample(now, request, 0, false, caller.RanYes)
-	c.requests.remove(request.Request)
+	c.endRequest(now, request)
 	c.emit(Refuse{Request: request.Request, Refusal: Refusal{
 		Reason: caller.ReasonEndpoint, Ran: caller.RanYes, Text: text, RetryAfter: defaultRetryAfter,
 		NotifyPeers: c.suspects.Verdict(now, request.Fingerprint) != crash.VerdictClear,
@@ -245,7 +245,7 @@
 		refusal.Ran = caller.RanYes
 	}
 	c.recordSample(now, request, 0, false, refusal.Ran)
-	c.requests.remove(request.Request)
+	c.endRequest(now, request)
 	c.refuse(now, request.Request, refusal)
 }
 
@@ -280,7 +280,7 @@
 	}
 	c.counts.CallerDisconnected++
 	c.burn.Record(now, burn.Sample{Service: request.Service, Class: request.class.Name, Region: c.region, CallerDisconnected: true})
-	c.requests.remove(request.Request)
+	c.endRequest(now, request)
 }
 
 func (c *Core) recordSample(now clock.Time, request *activeRequest, between clock.Span, complete bool, ran caller.Ran) {
--- a/core/event.go
+++ b/core/event.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/tanagerbridge/tanagerbridge/assign"
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/fleet"
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -82,6 +83,14 @@
 	Outcome ledger.Outcome
 }
 
+// LeaseReplied reports the reply of the owner of a suspect to QueryLease; without a reply the lease
+// is not granted.
+type LeaseReplied struct {
+	Request ident.Request
+	Owner   ident.Entry
+	Reply   crash.LeaseReply
+}
+
 // InstancesListed reports the platform's list of instances.
 type InstancesListed struct {
 	Instances []watch.Instance
@@ -141,6 +150,7 @@
 func (AttemptEnded) event()       {}
 func (CallerDisconnected) event() {}
 func (OwnerReplied) event()       {}
+func (LeaseReplied) event()       {}
 func (InstancesListed) event()    {}
 func (MembersUpdated) event()     {}
 func (LoadReported) event()       {}
--- a/core/gossip.go
+++ b/core/gossip.go
@@ -76,9 +76,7 @@
 	if c.fleet.ApplyDepartures(now, received.Departures) {
 		c.emit(PushGossip{})
 	}
-	if c.suspects.MergeCrashReports(now, received.CrashReports) {
-		c.dispatchAllWaiting(now)
-	}
+	c.mergeReports(now, received.CrashReports)
 	for _, l := range received.Loads {
 		if l.Region != c.region {
 			c.remoteLoads.update(now, l)
--- a/core/place.go
+++ b/core/place.go
@@ -78,6 +78,9 @@
 	if !ok {
 		return c.skipDecision(now, request)
 	}
+	if !c.acquireLease(now, request) {
+		return queue.Skip
+	}
 	if request.needsRetryBudget && !c.retries.Take() {
 		return queue.Skip
 	}
@@ -197,6 +200,9 @@
 	if c.lastTick > 0 && now.Sub(c.lastTick) >= maxTickGap {
 		return false
 	}
+	if request.findAttempt(number).exclusive && !request.lease.held(now) {
+		return false
+	}
 	if request.Ticket != nil && request.nonIdempotent && !now.Before(request.Ticket.Deadline) {
 		return false
 	}
--- a/core/request.go
+++ b/core/request.go
@@ -46,6 +46,8 @@
 	callerDisconnected bool
 	// mayHaveRun is set if an attempt was sent that may have run in part.
 	mayHaveRun bool
+	// lease is the right to run the request if it is a suspect.
+	lease suspectLease
 }
 
 // activeAttempt is an attempt in progress: one dispatch of a request.
--- a/core/tick.go
+++ b/core/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/crash"
 )
 
 func (c *Core) handleTick(now clock.Time) {
@@ -12,14 +13,19 @@
 	}
 	c.ledger.Expire(now)
 	c.dispatchAllWaiting(now)
-	c.requests.each(func(request *activeRequest) { c.hedgeIfLate(now, request) })
+	c.requests.each(func(request *activeRequest) {
+		c.hedgeIfLate(now, request)
+		if request.lease.held(now) {
+			c.renewLease(now, request)
+		}
+	})
 }
 
 // hedgeIfLate starts a second attempt of an idempotent request whose first token is later
 // than the prompt length and the load of its endpoint account for, if the retry budget
 // permits. The first answer wins and the other attempt is cancelled.
 func (c *Core) hedgeIfLate(now clock.Time, request *activeRequest) {
-	if !request.mayHedge || request.nonIdempotent || request.answerStartedAt > 0 || len(request.attempts) != 1 || request.attempts[0].hedge || request.attempts[0].exclusive {
+	if !c.mayHedge(now, request) {
 		return
 	}
 	doc := c.bundles.Current()
@@ -44,6 +50,16 @@
 	c.dispatch(now, request, choice, true)
 }
 
+// mayHedge reports whether a request may have a second attempt beside its first one. A suspect runs
+// only once at a time.
+func (c *Core) mayHedge(now clock.Time, request *activeRequest) bool {
+	if !request.mayHedge || request.nonIdempotent || request.answerStartedAt > 0 || len(request.attempts) != 1 {
+		return false
+	}
+	first := request.attempts[0]
+	return !first.hedge && !first.exclusive && c.suspects.Verdict(now, request.Fingerprint) == crash.VerdictClear
+}
+
 // expectedDelay returns the expected delay of an attempt's first token from the prompt
 // length and from the load of its endpoint in excess of its slots.
 func (c *Core) expectedDelay(now clock.Time, request *activeRequest, attempt *activeAttempt) clock.Span {
--- a/core/tickets.go
+++ b/core/tickets.go
@@ -131,7 +131,7 @@
 func (c *Core) endUnknown(now clock.Time, request *activeRequest) {
 	c.recordOutcome(now, request, ledger.Outcome{State: ledger.Unknown})
 	c.recordSample(now, request, 0, false, caller.RanUnknown)
-	c.requests.remove(request.Request)
+	c.endRequest(now, request)
 	c.answerOutcome(now, request.Request, resolution{}, ledger.Outcome{State: ledger.Unknown})
 }
 
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -283,6 +283,15 @@
 	return reports
 }
 
+// ReportsOf returns the crash report of a fingerprint, or none if it is not suspected.
+func (s *Suspects) ReportsOf(now clock.Time, fingerprint ident.Fingerprint) []gossip.CrashReport {
+	record := s.get(now, fingerprint)
+	if record == nil || record.verdict == VerdictClear {
+		return nil
+	}
+	return []gossip.CrashReport{record.report(now)}
+}
+
 // report converts a record to the message sent to other entries.
 func (r *fingerprintRecord) report(now clock.Time) gossip.CrashReport {
 	return gossip.CrashReport{
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/core"
+	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ledger"
 	"github.com/tanagerbridge/tanagerbridge/ticket"
@@ -52,6 +53,12 @@
 	return withCore(p.server.shell, func(c *core.Core, now clock.Time) ledger.Outcome { return c.TicketOutcome(now, t) })
 }
 
+// HandleLease merges the reports first, since they may change the verdict on waiting requests.
+func (p peerDelegate) HandleLease(request crash.LeaseRequest) crash.LeaseReply {
+	p.server.shell.apply(core.GossipReceived{Gossip: gossip.Payload{CrashReports: request.Reports}})
+	return withCore(p.server.shell, func(c *core.Core, now clock.Time) crash.LeaseReply { return c.HandleLease(now, request) })
+}
+
 func (p peerDelegate) Bundle() []byte { return p.server.shell.bundles.Encoded() }
 
 func (p peerDelegate) OfferBundle(encoded []byte) {
--- a/entry/shell.go
+++ b/entry/shell.go
@@ -11,6 +11,7 @@
 	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/core"
+	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/fleet"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/ledger"
@@ -23,6 +24,7 @@
 // peerClient is the part of peer.Node that the shell uses.
 type peerClient interface {
 	QueryTicket(ctx context.Context, t ticket.Ticket) (ledger.Outcome, error)
+	Lease(ctx context.Context, owner ident.Entry, request crash.LeaseRequest) crash.LeaseReply
 	PushGossip()
 }
 
@@ -106,6 +108,10 @@
 			}
 		case core.QueryOwner:
 			go s.queryOwner(a)
+		case core.QueryLease:
+			go s.queryLease(a)
+		case core.ReturnLease:
+			go s.returnLease(a)
 		case core.Order:
 			go s.executeOrder(a.Order)
 		case core.Dispatch:
@@ -155,7 +161,21 @@
 	s.apply(core.OwnerReplied{Request: action.Request, Outcome: outcome})
 }
 
-// queryTimeout bounds a query to the owner of a ticket. A round trip between regions takes
+// queryLease requests the lease of a suspect from its owner.
+func (s *shell) queryLease(action core.QueryLease) {
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout.Duration())
+	defer cancel()
+	reply := s.peers.Lease(ctx, action.Owner, action.Lease)
+	s.apply(core.LeaseReplied{Request: action.Lease.Holder.Request, Owner: action.Owner, Reply: reply})
+}
+
+func (s *shell) returnLease(action core.ReturnLease) {
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout.Duration())
+	defer cancel()
+	s.peers.Lease(ctx, action.Owner, action.Lease)
+}
+
+// queryTimeout bounds a query to the owner of a ticket or of a suspect. A round trip between regions takes
 // just over 100 ms.
 const queryTimeout = 2 * clock.Second
 
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -3,6 +3,7 @@
 package peer
 
 import (
+	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -38,6 +39,8 @@
 	MergeGossip(gossip.Payload)
 	// TicketOutcome returns the outcome of a ticket that a peer asks about.
 	TicketOutcome(ticket.Ticket) ledger.Outcome
+	// HandleLease processes a lease request of a peer.
+	HandleLease(crash.LeaseRequest) crash.LeaseReply
 	// Bundle returns the signed bundle in force, or nil.
 	Bundle() []byte
 	// OfferBundle passes on a signed bundle fetched from a peer.
@@ -53,6 +56,7 @@
 	queryKind    = "ask"
 	fetchKind    = "fetch"
 	handoverKind = "hand"
+	leaseKind    = "lease"
 )
 
 // pingRequest probes the receiver and exchanges gossip. Seq is 0 for pings outside the
@@ -82,6 +86,10 @@
 	Outcome ledger.Outcome `msgpack:"outcome"`
 }
 
+type leaseReply struct {
+	Reply crash.LeaseReply `msgpack:"reply"`
+}
+
 type fetchRequest struct{}
 
 type fetchReply struct {
@@ -101,3 +109,4 @@
 func (queryReply) Name() string    { return "told" }
 func (fetchReply) Name() string    { return "given" }
 func (handoverReply) Name() string { return "taken" }
+func (leaseReply) Name() string    { return "leased" }
--- a/peer/node.go
+++ b/peer/node.go
@@ -107,6 +107,7 @@
 	wire.Handle(n.server, queryKind, n.handleQuery)
 	wire.Handle(n.server, fetchKind, n.handleFetch)
 	wire.Handle(n.server, handoverKind, n.handleHandover)
+	wire.Handle(n.server, leaseKind, n.handleLease)
 	var listenConfig net.ListenConfig
 	n.listener, err = listenConfig.Listen(ctx, "tcp", n.config.Listen)
 	if err != nil {
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -39,6 +40,7 @@
 	merged     []gossip.Departure
 	ledger     *ledger.Ledger
 	adopts     bool
+	leases     *crash.Leases
 	adopted    []ledger.Handover
 }
 
@@ -63,6 +65,11 @@
 	s.merged = append(s.merged, payload.Departures...)
 }
 
+func (s *stubDelegate) HandleLease(request crash.LeaseRequest) crash.LeaseReply {
+	defer s.lock()()
+	return crash.LeaseReply{Granted: s.leases.Grant(1, request.Fingerprint, request.Holder)}
+}
+
 func (s *stubDelegate) TicketOutcome(issued ticket.Ticket) ledger.Outcome {
 	defer s.lock()()
 	if outcome, ok := s.ledger.AdoptedOutcome(1, issued); ok {
@@ -122,7 +129,7 @@
 		if i < len(secrets) {
 			secret = secrets[i]
 		}
-		delegate := &stubDelegate{adopts: true, ledger: ledger.New(ledger.Config{Entry: name, Incarnation: 1, Margin: clock.Minute, AnswerLimit: 1 << 20})}
+		delegate := &stubDelegate{adopts: true, leases: crash.NewLeases(), ledger: ledger.New(ledger.Config{Entry: name, Incarnation: 1, Margin: clock.Minute, AnswerLimit: 1 << 20})}
 		node, err := peer.Start(t.Context(), peer.Config{
 			Self:   gossip.Member{Entry: name, Incarnation: 1, Region: r, Zone: "z"},
 			Listen: "127.0.0.1:0", Delegate: delegate, Seed: uint64(i), Secrets: secret,
@@ -217,6 +224,23 @@
 	eventually(t, func() bool { return len(f.nodes[0].Live()) == 1 })
 }
 
+// Guards against a lease that goes to the wrong entry, and against one that is taken for granted
+// because its owner is unreachable.
+func TestLease(t *testing.T) {
+	f := start(t)
+	f.awaitConverged(t)
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	request := func(holder ident.Request) crash.LeaseRequest {
+		return crash.LeaseRequest{Fingerprint: 7, Holder: crash.Holder{Entry: "e", Incarnation: 1, Request: holder}}
+	}
+	owner := f.delegates[1].ledger.Issue(1, "orders", "", clock.Minute).Entry
+	require.True(t, f.nodes[0].Lease(ctx, owner, request("a")).Granted)
+	require.False(t, f.nodes[2].Lease(ctx, owner, request("b")).Granted)
+	f.nodes[1].Close()
+	require.False(t, f.nodes[0].Lease(ctx, owner, request("a")).Granted)
+}
+
 // Guards against outcomes that are lost when an entry leaves: if the first peer declines
 // the ledger another takes it over, and every other entry learns the successor.
 func TestLeave(t *testing.T) {
