feat(pool): leave out a lost zone until one of its endpoints answers

Change: a zone is suspected if three of its endpoints fail in a row without an answer from any other, or if mesh has lost all instances there. Its endpoints get no requests until one answers a health check, sent each 0.5 s to one of them. If all zones seem lost, none is left out. Result: TestLostZoneIsLeftOut, TestZoneIsKept, TestLostZone (12 to 300 instances).

--- a/gate/health.go
+++ b/gate/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -21,6 +22,19 @@
 	maxHealthBodyBytes = 64 << 10
 )
 
+// watchZones lets the endpoints of a zone be checked that has just lost all of its instances: what
+// took them may have taken the endpoints too.
+func (s *Server) watchZones(context.Context) {
+	lost := s.node.LostZones()
+	for _, zone := range lost {
+		if !slices.Contains(s.lostZones, zone) {
+			s.log.Warn("zone lost", zap.String("zone", string(zone)))
+			s.state.withPool(func(p *pool.Pool, now clock.Time) { p.SuspectZone(now, zone) })
+		}
+	}
+	s.lostZones = lost
+}
+
 // startHealthChecks starts the health checks that are due.
 func (s *Server) startHealthChecks(ctx context.Context) {
 	var due []pool.Info
@@ -47,6 +61,7 @@
 		if fault.KindOf[relay.Kind](err) == relay.KindUnsent && ctx.Err() == nil {
 			s.state.recordUnreachable(info.ID)
 		}
+		s.state.withPool(func(p *pool.Pool, now clock.Time) { p.RecordCheck(now, info.ID, pool.Check{}) })
 		s.log.Debug("health check failed", zap.String("endpoint", string(info.ID)), zap.Error(err))
 		return
 	}
--- a/gate/server.go
+++ b/gate/server.go
@@ -49,6 +49,8 @@
 	storeGrace          = 500 * clock.Millisecond
 	// panicPause is the pause of a background task after a panic.
 	panicPause = 500 * clock.Millisecond
+	// zoneInterval is the interval between two checks for lost zones.
+	zoneInterval = 200 * clock.Millisecond
 	// maintainInterval is the interval between two maintenance rounds.
 	maintainInterval = time.Second
 )
@@ -76,6 +78,9 @@
 	// directUntil is the time until which this instance reads the store itself although others of the
 	// region do, as a clock.Time.
 	directUntil atomic.Int64
+	// lostZones holds the zones of the region whose instances were all gone at the last check. Only the
+	// task that watches the zones uses it.
+	lostZones []ident.Zone
 	// wholeTransfers counts the whole lists that are being sent to other instances.
 	wholeTransfers atomic.Int64
 
@@ -224,6 +229,7 @@
 	s.tasks.Go(func() { s.repeat(ctx, "list", func() { s.followList(ctx, list) }) })
 	s.tasks.Go(func() { s.repeat(ctx, "control", func() { s.followControl(ctx, control) }) })
 	s.tasks.Go(func() { runEvery(ctx, checkInterval.Duration(), s.startHealthChecks) })
+	s.tasks.Go(func() { runEvery(ctx, zoneInterval.Duration(), s.watchZones) })
 	s.tasks.Go(func() { runEvery(ctx, maintainInterval, s.maintain) })
 	s.tasks.Go(func() {
 		s.awaitReady(ctx)
--- a/mesh/detect_test.go
+++ b/mesh/detect_test.go
@@ -40,6 +40,38 @@
 // aliveCount returns the number of instances that a table considers alive.
 func (w *network) aliveCount(table *mesh.Table) int { return len(table.Alive(w.now)) }
 
+// Guards against a lost zone that is not known, or known only after a time that grows with the fleet,
+// and against a zone that is taken for lost because one instance is gone.
+func TestLostZone(t *testing.T) {
+	for _, n := range []int{12, 34, 117, 300} {
+		t.Run(fmt.Sprintf("instances=%d", n), func(t *testing.T) {
+			t.Parallel()
+			fleet := newNetwork(n, 3)
+			fleet.round(30)
+			var addresses []string
+			for address, table := range fleet.tables {
+				if table.Self().Zone == "r2-1" {
+					addresses = append(addresses, address)
+				}
+			}
+			fleet.kill(addresses[0])
+			fleet.round(detectionRounds)
+			for _, table := range fleet.tables {
+				require.Empty(t, table.LostZones(fleet.now))
+			}
+			fleet.kill(addresses[1:]...)
+			fleet.round(detectionRounds)
+			for _, table := range fleet.tables {
+				if table.Self().Region == "r2" {
+					require.Equal(t, []ident.Zone{"r2-1"}, table.LostZones(fleet.now))
+				} else {
+					require.Empty(t, table.LostZones(fleet.now))
+				}
+			}
+		})
+	}
+}
+
 // lossy drops each datagram with a probability of percent.
 func (w *network) lossy(percent int) {
 	random := rand.New(rand.NewPCG(5, 5))
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -129,13 +129,14 @@
 	// fleet.
 	regionFanout = 6
 	remoteFanout = 2
-	// maxGossipRecords is the maximum number of other instances' records in a message within the
-	// region, maxRemoteRecords the same to other regions, and maxJoinRegional and maxJoinOthers that
-	// in the reply to an instance that joins.
-	maxGossipRecords = 4
-	maxRemoteRecords = 1
-	maxJoinRegional  = 32
-	maxJoinOthers    = 12
+	// startGossipRecords and maxGossipRecords are the maximum number of other instances' records in a
+	// message within the region, shortly after the start and later, maxRemoteRecords the same to other
+	// regions, and maxJoinRegional and maxJoinOthers that in the reply to an instance that joins.
+	startGossipRecords = 4
+	maxGossipRecords   = 2
+	maxRemoteRecords   = 1
+	maxJoinRegional    = 32
+	maxJoinOthers      = 12
 	// joinFanout is how many instances of the own region are asked for records in each round with
 	// facts during settleTime.
 	joinFanout = 2
@@ -190,6 +191,8 @@
 	// instances count as down, and regionTimeoutRounds the minimum number of rounds in that time.
 	minRegionTimeout    = 2 * clock.Second
 	regionTimeoutRounds = 8
+	// minZoneMembers is how many instances of a zone must be gone before the zone counts as lost.
+	minZoneMembers = 2
 	// peerRetention is how long an instance is remembered after it was last alive. Limits that all
 	// instances share are divided by the number of remembered instances.
 	peerRetention = 90 * clock.Second
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -167,6 +167,9 @@
 // Leaving returns the instances that have recently started to leave.
 func (n *Node) Leaving() []Record { return withTable(n, (*Table).Leaving) }
 
+// LostZones returns the zones of this region whose instances are all gone.
+func (n *Node) LostZones() []ident.Zone { return withTable(n, (*Table).LostZones) }
+
 // Regions returns the other regions that are reachable.
 func (n *Node) Regions() []Region { return withTable(n, (*Table).Regions) }
 
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -257,6 +257,26 @@
 	return t.filter(func(p *peer) bool { return p.State >= Leaving && now.Sub(p.counterSeen) < replacementWindow })
 }
 
+// LostZones returns the zones of this region of which several instances are remembered and none is
+// alive, sorted by name.
+func (t *Table) LostZones(now clock.Time) (lost []ident.Zone) {
+	members, alive := make(map[ident.Zone]int), make(map[ident.Zone]bool)
+	for _, p := range t.peers {
+		if p.Region != t.self.Region || p.State >= Leaving {
+			continue
+		}
+		members[p.Zone]++
+		alive[p.Zone] = alive[p.Zone] || t.alive(now, p)
+	}
+	for zone, count := range members {
+		if count >= minZoneMembers && !alive[zone] && zone != t.self.Zone {
+			lost = append(lost, zone)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
+
 // filter returns the records of the peers for which fits returns true, sorted by name.
 func (t *Table) filter(fits func(*peer) bool) (records []Record) {
 	for _, p := range t.peers {
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -144,7 +144,7 @@
 }
 
 func (p *Pool) eligible(now clock.Time, candidate *endpoint, request Request) bool {
-	if !candidate.usable(now) || p.evacuated[candidate.Zone] || now.Before(candidate.fullUntil) || slices.Contains(request.ExcludedEndpoints, candidate.ID) {
+	if !candidate.usable(now) || p.evacuated[candidate.Zone] || p.zoneAvoided(now, candidate.Zone) || now.Before(candidate.fullUntil) || slices.Contains(request.ExcludedEndpoints, candidate.ID) {
 		return false
 	}
 	if request.MaxConnections > 0 && len(candidate.sends) >= p.connectionLimit(request) {
@@ -285,6 +285,7 @@
 	}
 	send.answered = true
 	target := send.endpoint
+	p.recordZoneAnswer(target)
 	if send.request.Engine {
 		target.prefillBacklog[clampPriority(send.request.Priority)] -= send.choice.UncachedTokens
 	}
@@ -325,6 +326,7 @@
 		}
 		target.memoryTokens -= send.choice.UncachedTokens + send.request.MaxOutputTokens
 	}
+	p.recordZoneResult(now, send, outcome)
 	switch outcome {
 	case Complete:
 		target.recordResult(false)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -33,6 +33,8 @@
 	config    Config
 	endpoints map[ident.Endpoint]*endpoint
 	services  map[ident.Service]*serviceState
+	// zones holds the zones of the region.
+	zones     map[ident.Zone]*zoneState
 	evacuated map[ident.Zone]bool
 	// lastListed is when the list was last read.
 	lastListed clock.Time
@@ -78,7 +80,7 @@
 // New returns an empty Pool.
 func New(config Config) *Pool {
 	return &Pool{
-		config: config, endpoints: make(map[ident.Endpoint]*endpoint), services: make(map[ident.Service]*serviceState),
+		config: config, endpoints: make(map[ident.Endpoint]*endpoint), services: make(map[ident.Service]*serviceState), zones: make(map[ident.Zone]*zoneState),
 		evacuated: make(map[ident.Zone]bool), rotation: config.Seed, missing: make(map[ident.Endpoint]*endpoint),
 		active: make(map[ident.Endpoint]*endpoint), peerReports: make(map[ident.Entry][]*endpoint),
 	}
@@ -135,7 +137,7 @@
 // putEndpoint applies an entry of the list and keeps the index of the services.
 func (p *Pool) putEndpoint(now clock.Time, info Info) string {
 	known := p.endpoints[info.ID]
-	if known != nil && !known.delisted && (known.Service != info.Service || known.Region != info.Region) {
+	if known != nil && !known.delisted && (known.Service != info.Service || known.Region != info.Region || known.Zone != info.Zone) {
 		p.removeFromIndex(known)
 	}
 	kind := p.mergeEndpoint(now, info)
@@ -202,7 +204,9 @@
 	service := p.service(e.Service)
 	service.all = insertEndpoint(service.all, e)
 	if e.Region == p.config.Region {
+		before := len(service.regional)
 		service.regional = insertEndpoint(service.regional, e)
+		p.zone(e.Zone).endpoints += len(service.regional) - before
 	}
 }
 
@@ -210,7 +214,9 @@
 func (p *Pool) removeFromIndex(e *endpoint) {
 	service := p.service(e.Service)
 	service.all = deleteEndpoint(service.all, e)
+	before := len(service.regional)
 	service.regional = deleteEndpoint(service.regional, e)
+	p.zone(e.Zone).endpoints += len(service.regional) - before
 }
 
 func insertEndpoint(list []*endpoint, e *endpoint) []*endpoint {
@@ -320,8 +326,12 @@
 	if check.ColdRemaining > 0 {
 		known.coldUntil = now.Add(check.ColdRemaining)
 	}
-	if check.Healthy && check.SameEndpoint {
+	switch zone := p.zone(known.Zone); {
+	case check.Healthy && check.SameEndpoint:
 		known.needsCheck = false
+		zone.clear()
+	case zone.suspected(now):
+		zone.suspectedUntil = now.Add(zoneSuspicion)
 	}
 }
 
@@ -336,7 +346,7 @@
 			}
 		}
 	}
-	return due
+	return append(due, p.dueZoneChecks(now)...)
 }
 
 // Summary is the capacity of one region for a service.
@@ -359,7 +369,7 @@
 		var backlog Backlog
 		usableEndpoints := ident.Tokens(0)
 		for _, e := range s.regional {
-			if !e.usable(now) || p.evacuated[e.Zone] || e.isCold(now) {
+			if !e.usable(now) || p.evacuated[e.Zone] || p.zoneAvoided(now, e.Zone) || e.isCold(now) {
 				continue
 			}
 			load := e.currentLoad(now)
