--- a/mesh/round.go
+++ b/mesh/round.go
@@ -101,8 +101,11 @@
 // messageTo returns a message with the state of this instance and with gossip.
 func (t *Table) messageTo(now clock.Time, receiver *peer) Message {
 	count := maxGossipRecords
-	if receiver.Region != t.self.Region {
+	switch {
+	case receiver.Region != t.self.Region:
 		count = maxRemoteRecords
+	case !t.Settled(now):
+		count = startGossipRecords
 	}
 	message := t.plainMessage(now, receiver)
 	message.Records = t.gossipSample(now, receiver.Name, count)
