fix(entry): bound answers of engines that do not end

Cause: the standard client reads a header of up to 10 MB and counts informational responses apart, and nothing ended a stream with more tokens than asked for. One request to such engines allocated 61 MB (header), 105 MB (one line), 283 MB (informational responses) or did not end (tokens). Change: 64 KiB for the header with informational responses; a stream ends with an error beyond max_tokens or 8 MiB. The fake engine gets these five faults.

--- a/entry/client.go
+++ b/entry/client.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tanagerbridge/tanagerbridge/fleet"
+	"github.com/tanagerbridge/tanagerbridge/ident"
 )
 
 const (
@@ -18,6 +19,8 @@
 	dialTimeout = time.Second
 	// maxIdleConns is the number of idle connections kept per endpoint.
 	maxIdleConns = 32
+	// maxResponseHeader bounds the header of a response, informational ones before it included.
+	maxResponseHeader ident.Bytes = 64 << 10
 	// idleTimeout is how long an idle connection is kept, and the interval of TCP keep-alive probes.
 	idleTimeout = 30 * time.Second
 )
@@ -37,10 +40,10 @@
 	return &client{
 		pooled: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout: idleTimeout, DisableCompression: true,
+			IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: int64(maxResponseHeader),
 		},
 		unpooled: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: int64(maxResponseHeader),
 		},
 	}
 }
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -249,7 +249,11 @@
 		}
 		attempt.stallTimer.Reset(attempt.StallTimeout.Duration())
 		var err error
-		if event, err = attempt.reader.Next(); err == nil {
+		event, err = attempt.reader.Next()
+		if err == nil {
+			err = x.checkLength(event)
+		}
+		if err == nil {
 			continue
 		}
 		x.writer.flush()
@@ -267,6 +271,21 @@
 	}
 }
 
+// checkLength returns an error if an event makes the answer longer than the caller asked for, or than
+// any answer may be.
+func (x *engineCall) checkLength(event stream.Event) error {
+	tokens, size := x.writer.length()
+	switch limit := x.prompt.maxTokens; {
+	case event.Done || event.Content == "":
+		return nil
+	case limit > 0 && tokens >= limit:
+		return fault.Newf("read", stream.KindTooLarge, "more than the %d tokens asked for", limit)
+	case size+ident.Bytes(len(event.Data)) > maxAnswerSize:
+		return fault.Newf("read", stream.KindTooLarge, "answer exceeds %d bytes", maxAnswerSize)
+	}
+	return nil
+}
+
 // endDisconnected ends a request whose caller has disconnected.
 func (x *engineCall) endDisconnected() {
 	x.server.shell.apply(core.CallerDisconnected{Request: x.pending.id})
--- a/entry/output.go
+++ b/entry/output.go
@@ -63,6 +63,13 @@
 	return result
 }
 
+// length returns the tokens of the answer so far and its size.
+func (o *completionWriter) length() (ident.Tokens, ident.Bytes) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sent.tokens, ident.Bytes(o.sent.bytes)
+}
+
 // finished reports whether the answer's finish reason was received.
 func (o *completionWriter) finished() bool { return o.finishReason != "" }
 
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -99,6 +99,14 @@
 	Abort int `json:"break"`
 	// Repeat sends each event twice.
 	Repeat int `json:"repeat"`
+	// EndlessHeader answers with header lines without end, EndlessLine with one line without end.
+	EndlessHeader int `json:"header"`
+	EndlessLine   int `json:"line"`
+	// EndlessInformational answers with informational responses without end.
+	EndlessInformational int `json:"informational"`
+	// EndlessEvent sends one event without end, EndlessTokens valid events without end.
+	EndlessEvent  int `json:"event"`
+	EndlessTokens int `json:"tokens"`
 }
 
 // NewEngine returns an Engine that is not started.
--- a/fakes/enginehttp.go
+++ b/fakes/enginehttp.go
@@ -163,11 +163,16 @@
 	j.attach()
 	defer p.release(j)
 	e.waitAnswerDelay(ctx)
+	fault := e.takeFault()
+	if fault >= faultEndlessHeader {
+		e.sendEndless(ctx, w, p, j, fault)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(headerRequest, string(j.request))
 	w.WriteHeader(http.StatusOK)
 	flush := func() { _ = http.NewResponseController(w).Flush() }
-	writer := &eventWriter{w: w, job: j, sent: after, fault: e.takeFault(), flush: flush}
+	writer := &eventWriter{w: w, job: j, sent: after, fault: fault, flush: flush}
 	for {
 		tokens, done, changed := j.progress()
 		end := writer.writeUpTo(tokens, done)
@@ -242,6 +247,11 @@
 		{&e.faults.Truncate, faultTruncate},
 		{&e.faults.Abort, faultAbort},
 		{&e.faults.Repeat, faultRepeat},
+		{&e.faults.EndlessHeader, faultEndlessHeader},
+		{&e.faults.EndlessLine, faultEndlessLine},
+		{&e.faults.EndlessInformational, faultEndlessInformational},
+		{&e.faults.EndlessEvent, faultEndlessEvent},
+		{&e.faults.EndlessTokens, faultEndlessTokens},
 	} {
 		if *f.remaining > 0 {
 			*f.remaining--
--- a/fakes/events.go
+++ b/fakes/events.go
@@ -18,6 +18,11 @@
 	faultTruncate
 	faultAbort
 	faultRepeat
+	faultEndlessHeader
+	faultEndlessLine
+	faultEndlessInformational
+	faultEndlessEvent
+	faultEndlessTokens
 )
 
 // eventsBeforeWrongRequest is the number of correct events of a stream with faultWrongRequest.
