fix(gate): name a random choice of instances to callers

Cause: of more than 64 instances the directory named neighbours in the list sorted by name, which often share a zone: when it was lost a caller had no other one. Change: a random choice.

--- a/gate/directory.go
+++ b/gate/directory.go
@@ -102,11 +102,15 @@
 	return addresses
 }
 
-// limitAddresses returns at most maxAddresses of the addresses, starting at a random position.
+// limitAddresses returns at most maxAddresses of the addresses, chosen at random. Neighbours in the
+// sorted list often share a zone and are lost together.
 func (s *Server) limitAddresses(addresses []string) []string {
 	if len(addresses) <= maxAddresses {
 		return addresses
 	}
-	offset := int(s.randomUint64() % uint64(len(addresses)))
-	return append(addresses[offset:], addresses[:offset]...)[:maxAddresses]
+	for i := range maxAddresses {
+		j := i + int(s.randomUint64()%uint64(len(addresses)-i))
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	}
+	return addresses[:maxAddresses]
 }
--- a/gate/follow.go
+++ b/gate/follow.go
@@ -83,20 +83,9 @@
 	}
 }
 
-// firstListPeers returns the instances from which this one may get the first list: those of its own
-// zone while that seems to succeed, since lists are large.
-func (s *Server) firstListPeers(retry *backoff) []mesh.Record {
-	peers := s.regionPeers()
-	near := slices.DeleteFunc(slices.Clone(peers), func(r mesh.Record) bool { return r.Zone != s.settings.Zone })
-	if len(near) > 0 && retry.next < maxStartupRetry {
-		return near
-	}
-	return peers
-}
-
 // fetchFirstList gets the list from another instance, if there is one, or from the store.
 func (s *Server) fetchFirstList(ctx context.Context, follower *store.Follower, retry *backoff) {
-	peers := s.firstListPeers(retry)
+	peers := s.regionPeers()
 	switch {
 	case len(peers) > 0 && s.syncFrom(ctx, peers[s.randomUint64()%uint64(len(peers))], s.freshLimits()):
 	case s.mayReadFirst():
