refactor(gate): decide who reads the store without I/O

Cause: who reads the store, whom an instance queries and when a new one may read was spread over methods that need a running server, so no interleavings of it could be played. Change: readerPolicy holds these decisions; the server asks it. Nothing else changes. TestReadersOfRegion plays nine instances with kills, restarts, cuts, outages of the store and old views of the others: all have the newest list 4 s after the last fault, no list goes back, at most three read.

--- a/gate/follow.go
+++ b/gate/follow.go
@@ -9,24 +9,11 @@
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
 	"github.com/tanagerbridge/tanagerbridge/store"
-	"github.com/tanagerbridge/tanagerbridge/watch"
 )
 
 const (
-	// storeReaderCount is how many instances of a region read the store; the others query them. Calls
-	// to the store are rate-limited and billed.
-	storeReaderCount = 3
 	// syncInterval is the interval at which the readers are queried.
 	syncInterval = 500 * clock.Millisecond
-	// directSpan is how long an instance reads the store itself after its queries have failed.
-	directSpan = 2 * clock.Second
-	// A new instance takes the first data from another one of its region. It waits discoveryTime to
-	// learn of others. If it is none of those that read first, it waits startupPatience, and a random
-	// part of startupSpread, before it reads the store itself: if all did so at once after a loss of
-	// all instances, the links to the store would be overloaded.
-	discoveryTime   = 250 * clock.Millisecond
-	startupPatience = 2 * clock.Second
-	startupSpread   = 2 * clock.Second
 	// startupRetry and maxStartupRetry bound the wait between two attempts to get the first data. It
 	// doubles with each, since at first many instances ask the few that have the data.
 	startupRetry    = 30 * clock.Millisecond
@@ -50,18 +37,21 @@
 	return slices.DeleteFunc(s.node.Alive(), func(r mesh.Record) bool { return r.Region != s.settings.Region })
 }
 
-// storeReaders returns the instances of the region that read the store, as far as this one knows.
-func (s *Server) storeReaders(peers []mesh.Record) []ident.Entry {
-	names := []ident.Entry{s.settings.Name}
-	for _, r := range peers {
-		names = append(names, r.Name)
-	}
-	return watch.Rendezvous("list", names, storeReaderCount)
+// readerPolicy returns the policy for this instance.
+func (s *Server) readerPolicy() readerPolicy {
+	return readerPolicy{self: s.settings.Name, seed: slices.Contains(s.settings.Seeds, s.node.Address()), startupDelay: s.startupDelay}
 }
 
 // readsStore reports whether this instance reads the store itself now.
 func (s *Server) readsStore() bool {
-	return s.clock.Now().Before(clock.Time(s.directUntil.Load())) || slices.Contains(s.storeReaders(s.regionPeers()), s.settings.Name)
+	return s.clock.Now().Before(clock.Time(s.directUntil.Load())) || s.readerPolicy().reads(namesOf(s.regionPeers()))
+}
+
+func namesOf(records []mesh.Record) (names []ident.Entry) {
+	for _, r := range records {
+		names = append(names, r.Name)
+	}
+	return names
 }
 
 // followList keeps the list of endpoints up to date: by reading the store, or by querying an
@@ -97,24 +87,9 @@
 	}
 }
 
-// mayReadFirst reports whether a new instance may read the store already. The seeds do so at once:
-// there are few of them, and others learn of them first.
+// mayReadFirst reports whether this instance, which has no data, may read the store already.
 func (s *Server) mayReadFirst() bool {
-	if slices.Contains(s.settings.Seeds, s.node.Address()) {
-		return true
-	}
-	elapsed := s.clock.Now().Sub(s.started)
-	starting := s.node.StartingInRegion()
-	switch {
-	case elapsed < discoveryTime:
-		return false
-	case elapsed > startupPatience+s.startupDelay:
-		return true
-	case len(starting) == 0:
-		return len(s.regionPeers()) == 0
-	default:
-		return slices.Contains(s.storeReaders(starting), s.settings.Name)
-	}
+	return s.readerPolicy().readsFirst(s.clock.Now().Sub(s.started), namesOf(s.node.StartingInRegion()), namesOf(s.regionPeers()))
 }
 
 // followControl keeps the configuration up to date while this instance reads the store.
@@ -136,10 +111,7 @@
 // the data are as fresh as those of the store.
 func (s *Server) syncWithReaders(ctx context.Context) bool {
 	peers := s.regionPeers()
-	readers := s.storeReaders(peers)
-	first := int(s.randomUint64() % uint64(len(readers)))
-	for n := range min(2, len(readers)) {
-		name := readers[(first+n)%len(readers)]
+	for _, name := range s.readerPolicy().sources(namesOf(peers), s.randomUint64()) {
 		index := slices.IndexFunc(peers, func(r mesh.Record) bool { return r.Name == name })
 		if index >= 0 && s.syncFrom(ctx, peers[index], s.freshLimits()) {
 			s.state.recordAnswer()
