--- a/entry/contain.go
+++ b/entry/contain.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"os"
-
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/caller"
@@ -33,9 +31,6 @@
 	}
 }
 
-// exitProcess is the exit function of a shell outside tests.
-func exitProcess(status int) { os.Exit(status) }
-
 // internalError is the refusal of a request whose handler has panicked. It may have run.
 func internalError() *core.Refusal {
 	return &core.Refusal{Reason: caller.ReasonUnknown, Ran: caller.RanUnknown, Text: "internal error"}
--- a/entry/shell.go
+++ b/entry/shell.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -50,7 +51,7 @@
 }
 
 func newShell(log *zap.Logger, c clock.Clock, bundles *bundle.Active, k *core.Core) *shell {
-	return &shell{log: log, exit: exitProcess, clock: c, bundles: bundles, core: k, pending: make(map[ident.Request]*pendingRequest)}
+	return &shell{log: log, exit: os.Exit, clock: c, bundles: bundles, core: k, pending: make(map[ident.Request]*pendingRequest)}
 }
 
 // pendingRequest is a request in progress, with the channel of actions for its handler.
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -191,7 +191,7 @@
 	// instances count as down, and regionTimeoutRounds the minimum number of rounds in that time.
 	minRegionTimeout    = 2 * clock.Second
 	regionTimeoutRounds = 8
-	// minZoneMembers is how many instances of a zone must be gone before the zone counts as lost.
+	// minZoneMembers is the number of instances from which a zone can be told to be lost.
 	minZoneMembers = 2
 	// peerRetention is how long an instance is remembered after it was last alive. Limits that all
 	// instances share are divided by the number of remembered instances.
