--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -23,8 +23,10 @@
 	tables map[string]*mesh.Table
 	drop   func(from, to string) bool
 	sent   map[string]int
-	facts  mesh.Facts
-	rng    *rand.Rand
+	// observe, if set, sees each message that is sent.
+	observe func(from string, message mesh.Message)
+	facts   mesh.Facts
+	rng     *rand.Rand
 }
 
 // roundInterval is the time between two rounds of an instance.
@@ -32,18 +34,25 @@
 
 func newNetwork(count int, regions int) *network { return newSeededNetwork(count, regions, 1) }
 
+// shortAddress returns the address of an instance in most tests.
+func shortAddress(i int) string { return fmt.Sprint("m", i) }
+
 // newSeededNetwork returns a network in which the seed decides all orders.
 func newSeededNetwork(count, regions int, seed uint64) *network {
+	return newAddressedNetwork(count, regions, seed, shortAddress)
+}
+
+func newAddressedNetwork(count, regions int, seed uint64, addressOf func(i int) string) *network {
 	fleet := &network{
 		now: 1000, tables: make(map[string]*mesh.Table), sent: make(map[string]int), rng: rand.New(rand.NewPCG(seed, 7)),
 	}
 	fleet.facts.Services = []pool.Summary{{Service: "s", Slots: 4, FreeSlots: 2}}
 	for i := range count {
-		address := fmt.Sprint("m", i)
+		address := addressOf(i)
 		fleet.tables[address] = mesh.NewTable(fleet.now, mesh.Record{
 			Name: ident.Entry(fmt.Sprint("i", i)), Incarnation: 1, State: mesh.Ready, Mesh: address,
 			Region: ident.Region(fmt.Sprint("r", i%regions)), Zone: ident.Zone(fmt.Sprint("r", i%regions, "-", i/regions%2)), Hop: "h" + address, Front: "f" + address,
-		}, []string{"m0", "m1", "stale"}, seed<<32+uint64(i))
+		}, []string{addressOf(0), addressOf(1), "stale"}, seed<<32+uint64(i))
 	}
 	return fleet
 }
@@ -74,6 +83,9 @@
 func (w *network) deliver(from string, messages []mesh.OutgoingMessage) {
 	for _, l := range messages {
 		w.sent[from]++
+		if w.observe != nil {
+			w.observe(from, l.Message)
+		}
 		to := w.tables[l.Address]
 		if to == nil || w.drop != nil && w.drop(from, l.Address) {
 			continue
