--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -57,26 +57,12 @@
 // TANAGER_ and the name in capitals.
 func textFlag(name, kind, value, usage string) cli.Flag {
 	return &cli.StringFlag{
-		Name: name, Value: value, Usage: usage + " (" + kind + ")", Sources: cli.EnvVars(environmentVariable(name)),
+		Name: name, Value: value, Usage: usage + " (" + kind + ")", Sources: environmentSource(name),
 	}
 }
 
 func durationFlag(name string, value clock.Span, usage string) cli.Flag {
-	return &cli.DurationFlag{Name: name, Value: value.Duration(), Usage: usage, Sources: cli.EnvVars(environmentVariable(name))}
-}
-
-func environmentVariable(name string) string {
-	out := []byte("TANAGER_")
-	for _, b := range []byte(name) {
-		switch {
-		case b == '-':
-			b = '_'
-		case b >= 'a' && b <= 'z':
-			b -= 'a' - 'A'
-		}
-		out = append(out, b)
-	}
-	return string(out)
+	return &cli.DurationFlag{Name: name, Value: value.Duration(), Usage: usage, Sources: environmentSource(name)}
 }
 
 func entrySettings(c *cli.Command) config.Entry {
--- a/cmd/gate.go
+++ b/cmd/gate.go
@@ -35,7 +35,7 @@
 		Flags: []cli.Flag{
 			textFlag("metrics", "IP:PORT", "", "address that serves metrics; empty disables it"),
 			textFlag("log-level", "LEVEL", "info", "debug, info, warn or error"),
-			&cli.IntFlag{Name: "log-rate", Value: defaultLogRate, Sources: cli.EnvVars(environmentVariable("log-rate")), Usage: "maximum log lines per second; 0 means unlimited"},
+			&cli.IntFlag{Name: "log-rate", Value: defaultLogRate, Sources: environmentSource("log-rate"), Usage: "maximum log lines per second; 0 means unlimited"},
 		},
 		Action: runGate,
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -23,8 +23,6 @@
 )
 
 const (
-	// missesUntilDown is how many missed reports mark an endpoint as down; see package fleet.
-	missesUntilDown = 3
 	// maxTickGap is the gap between two ticks from which the process counts as paused.
 	maxTickGap = 2 * clock.Second
 	// suspicionTerm is how long a request that crashed endpoints is refused.
@@ -264,7 +262,7 @@
 		if t.Region != region {
 			continue
 		}
-		for range missesUntilDown {
+		for range fleet.MissedReportLimit {
 			if c.fleet.State(t.Endpoint) != fleet.Down {
 				c.fleet.RecordMissedReport(now, t.Endpoint)
 			}
--- a/entry/server.go
+++ b/entry/server.go
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	s.startTasks(ctx)
-	s.log.Info("started", zap.String("listen", s.Address()), zap.String("admin", s.Admin()), zap.String("peer", s.Peer()))
+	s.log.Info("started", zap.String("listen", s.Address()), zap.String("admin", s.AdminAddress()), zap.String("peer", s.PeerAddress()))
 	return s, nil
 }
 
@@ -176,11 +176,11 @@
 // Address returns the host:port for callers.
 func (s *Server) Address() string { return s.callerServer.address() }
 
-// Admin returns the host:port for operators.
-func (s *Server) Admin() string { return s.adminServer.address() }
+// AdminAddress returns the host:port for operators.
+func (s *Server) AdminAddress() string { return s.adminServer.address() }
 
-// Peer returns the host:port for other entries.
-func (s *Server) Peer() string { return s.node.Address() }
+// PeerAddress returns the host:port for other entries.
+func (s *Server) PeerAddress() string { return s.node.Address() }
 
 // Close stops the entry at once. If it cuts off requests in progress, it returns an *Error
 // of kind KindInterrupted with their number. Further calls do nothing.
--- a/entry/spread_bench_test.go
+++ b/entry/spread_bench_test.go
@@ -70,7 +70,7 @@
 	b.Helper()
 	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
 		var got status.Status
-		if err := readJSON(b.Context(), "http://"+e.Admin()+status.PathStatus, &got); err == nil && got.Version >= version {
+		if err := readJSON(b.Context(), "http://"+e.AdminAddress()+status.PathStatus, &got); err == nil && got.Version >= version {
 			return
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,9 +20,9 @@
 	// maxReportAge is the maximum age of the last report of an endpoint that counts as
 	// answering.
 	maxReportAge = 3 * clock.Second
-	// missedReportLimit is the number of consecutive missed reports after which an
+	// MissedReportLimit is the number of consecutive missed reports after which an
 	// endpoint is down.
-	missedReportLimit = 3
+	MissedReportLimit = 3
 	// departureTTL is how long a departure is passed on to other entries. It is twice
 	// the lag of the instance list.
 	departureTTL = 60 * clock.Second
@@ -295,7 +295,7 @@
 		return
 	}
 	endpoint.missedReports++
-	if endpoint.missedReports >= missedReportLimit {
+	if endpoint.missedReports >= MissedReportLimit {
 		endpoint.markDown()
 	}
 	if endpoint.expired(now) {
--- a/peer/leave.go
+++ b/peer/leave.go
@@ -56,11 +56,11 @@
 	}
 	address, ok := n.address(to)
 	if !ok {
-		return ledger.Outcome{}, fault.Newf("ask", KindUnreachable, "no address known for %s", to)
+		return ledger.Outcome{}, fault.Newf("query ticket", KindUnreachable, "no address known for %s", to)
 	}
 	reply, err := wire.Call[queryRequest, queryReply](ctx, n.client, address, queryKind, queryRequest{Ticket: t})
 	if err != nil {
-		return ledger.Outcome{}, fault.Wrap("ask", KindUnreachable, err)
+		return ledger.Outcome{}, fault.Wrap("query ticket", KindUnreachable, err)
 	}
 	return reply.Outcome, nil
 }
@@ -130,7 +130,7 @@
 func (n *Node) sendHandover(ctx context.Context, to ident.Entry, handover ledger.Handover) error {
 	address, ok := n.address(to)
 	if !ok {
-		return fault.Newf("hand", KindUnreachable, "no address known for %s", to)
+		return fault.Newf("hand over", KindUnreachable, "no address known for %s", to)
 	}
 	n.mu.Lock()
 	last := n.table.Self()
@@ -148,7 +148,7 @@
 	state := n.table.Self().State
 	n.mu.Unlock()
 	if state != gossip.Alive {
-		return handoverReply{}, fault.Newf("hand", KindRefused, "this entry is %s", state)
+		return handoverReply{}, fault.Newf("hand over", KindRefused, "this entry is %s", state)
 	}
 	if err := n.config.Delegate.AdoptLedger(request.Handover); err != nil {
 		return handoverReply{}, err
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -45,14 +45,14 @@
 // commands maps the script commands to their functions. The comment of each function gives
 // the command with its arguments and its effect; commands without one are described here.
 var commands = map[string]func(*testscript.TestScript, bool, []string){
-	"deploy":  deploy,
-	"entry":   withCluster(startEntry),
-	"signal":  withCluster(signalEntry),
-	"exits":   withCluster(awaitExit),
-	"await":   withCluster(awaitState),
-	"version": withCluster(awaitVersion),
-	"meet":    withCluster(awaitMembers),
-	"settles": withCluster(resendOrder),
+	"deploy":       deploy,
+	"entry":        withCluster(startEntry),
+	"signal":       withCluster(signalEntry),
+	"exits":        withCluster(awaitExit),
+	"await":        withCluster(awaitState),
+	"version":      withCluster(awaitVersion),
+	"awaitmembers": withCluster(awaitMembers),
+	"awaitorder":   withCluster(resendOrder),
 	// cut REGION isolates a region from the others in both directions.
 	"cut": withCluster(func(env *cluster, args []string) error { env.deployment.Partition(ident.Region(args[0])); return nil }),
 	// cutpair FROM TO cuts the network from one region to another, but not back.
@@ -61,8 +61,8 @@
 		return nil
 	}),
 	"logged": withCluster(checkLogged),
-	// sees ENTRY OTHER waits until locate at ENTRY returns OTHER.
-	"sees": withCluster(func(env *cluster, args []string) error {
+	// awaitnamed ENTRY OTHER waits until locate at ENTRY returns OTHER.
+	"awaitnamed": withCluster(func(env *cluster, args []string) error {
 		return eventually(func() error { return checkNamed(env, args) })
 	}),
 	// heal ends all cuts.
@@ -80,7 +80,7 @@
 	"send":     withCluster(expectOrder),
 	"follow":   withCluster(awaitOrder),
 	"delay":    withCluster(delayServices),
-	"spoil":    withCluster(injectFault),
+	"inject":   withCluster(injectFault),
 	"placed":   withCluster(checkPlaced),
 	"complete": withCluster(sendPrompts),
 	"joined":   withCluster(awaitPrompts),
@@ -204,7 +204,7 @@
 	return nil
 }
 
-// meet NAME... waits until each of the entries lists all others as members.
+// awaitmembers NAME... waits until each of the entries lists all others as members.
 func awaitMembers(env *cluster, args []string) error {
 	return eventually(func() error {
 		for _, name := range args {
@@ -220,7 +220,7 @@
 	})
 }
 
-// settles ORDER ENTRY RESULT resends an order until its result is RESULT.
+// awaitorder ORDER ENTRY RESULT resends an order until its result is RESULT.
 func resendOrder(env *cluster, args []string) error {
 	return eventually(func() error { return expectOrder(env, args) })
 }
@@ -293,7 +293,7 @@
 	return err
 }
 
-// spoil before|after|refuse|cross makes the next call to each plain service fail; none
+// inject before|after|refuse|cross makes the next call to each plain service fail; none
 // removes faults that have not occurred.
 func injectFault(env *cluster, args []string) error {
 	faults, ok := map[string]fakes.ServiceFaults{
--- a/stage/entry.go
+++ b/stage/entry.go
@@ -35,8 +35,8 @@
 // Address returns the host:port for callers in the entry's own region.
 func (e *Entry) Address() string { return e.server.Address() }
 
-// Admin returns the host:port of the entry's admin server.
-func (e *Entry) Admin() string { return e.server.Admin() }
+// AdminAddress returns the host:port of the entry's admin server.
+func (e *Entry) AdminAddress() string { return e.server.AdminAddress() }
 
 // entryInstance returns the entry's item of the instance list.
 func (s *Deployment) entryInstance(e *Entry) watch.Instance {
@@ -44,7 +44,7 @@
 	defer s.mu.Unlock()
 	return watch.Instance{
 		Name: string(e.Name), Role: watch.RoleEntry, Region: e.Region, Zone: zoneOf(e.Region),
-		State: e.state, Address: e.server.Address(), Peer: e.server.Peer(),
+		State: e.state, Address: e.server.Address(), Peer: e.server.PeerAddress(),
 	}
 }
 
@@ -220,7 +220,7 @@
 }
 
 func isReady(ctx context.Context, e *Entry) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Admin()+status.PathReady, http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.AdminAddress()+status.PathReady, http.NoBody)
 	if err != nil {
 		return false
 	}
--- a/stage/external.go
+++ b/stage/external.go
@@ -13,8 +13,8 @@
 // entryServer is a running entry, in this process or in another one.
 type entryServer interface {
 	Address() string
-	Admin() string
-	Peer() string
+	AdminAddress() string
+	PeerAddress() string
 	Close() error
 	Drain(ctx context.Context) error
 }
@@ -31,10 +31,10 @@
 	addresses Addresses
 }
 
-func (x externalEntry) Address() string { return x.addresses.Caller }
-func (x externalEntry) Admin() string   { return x.addresses.Admin }
-func (x externalEntry) Peer() string    { return x.addresses.Peer }
-func (x externalEntry) Close() error    { return nil }
+func (x externalEntry) Address() string      { return x.addresses.Caller }
+func (x externalEntry) AdminAddress() string { return x.addresses.Admin }
+func (x externalEntry) PeerAddress() string  { return x.addresses.Peer }
+func (x externalEntry) Close() error         { return nil }
 
 func (x externalEntry) Drain(context.Context) error {
 	return errors.New("entry runs in another process and can't be drained from here")
--- a/stage/status.go
+++ b/stage/status.go
@@ -19,7 +19,7 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	var report status.Status
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Admin()+status.PathStatus, http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.AdminAddress()+status.PathStatus, http.NoBody)
 	if err != nil {
 		return report, fault.Wrap("status", KindUnknown, err)
 	}
