--- a/proof/scene_test.go
+++ b/proof/scene_test.go
@@ -234,11 +234,12 @@
 	})
 }
 
-// describe returns the kernel's state of the process and its log.
+// describe returns the kernel's state of the process, or how it ended, and its log.
 func (p *process) describe() string {
-	state := "exited"
+	state := ""
 	select {
 	case <-p.exited:
+		state = p.cmd.ProcessState.String()
 	default:
 		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
 		state = string(stat)
