--- a/proof/scene_test.go
+++ b/proof/scene_test.go
@@ -236,7 +236,7 @@
 
 // describe returns the kernel's state of the process, or how it ended, and its log.
 func (p *process) describe() string {
-	state := ""
+	var state string
 	select {
 	case <-p.exited:
 		state = p.cmd.ProcessState.String()
