refactor(pool,gate,mesh): do once what was done for each candidate or twice

Cause: read again, the change looked up for each candidate whether its zone is avoided, derived the keys of a prompt three times in one choice, suspected a zone in three places, asked each remote instance twice whether it accepts hops, listed the region twice while a new instance waits, recorded a health check in two branches, drew a sample by hand beside rand.Shuffle, had two functions called stopListening, and returned errors without operation and kind. The random choice of the directory had no test. Change: each once; stopAccepting, fault errors. Result: nothing else changes.

--- a/gate/directory.go
+++ b/gate/directory.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"math/rand/v2"
 	"net/http"
 
 	"go.uber.org/zap"
@@ -57,20 +58,20 @@
 	}
 	sameRegion := func(r mesh.Record) bool { return r.Region == query.Region }
 	if addresses := frontAddresses(alive, sameRegion); len(addresses) > 0 {
-		return s.limitAddresses(addresses)
+		return limitAddresses(addresses)
 	}
 	leaving := s.node.Leaving()
 	fewest := s.minExcludedRoutes(query.Host, alive, leaving)
 	fewestExcluded := func(r mesh.Record) bool { return s.excludedRoutes(query.Host, r) == fewest }
 	if named := frontAddresses(alive, fewestExcluded); len(named) > 0 {
-		return s.limitAddresses(named)
+		return limitAddresses(named)
 	}
 	// A rolling restart replaces instances within seconds. Until then, callers must not be
 	// directed to regions that may not process their data.
 	if named := frontAddresses(leaving, func(r mesh.Record) bool { return sameRegion(r) || fewestExcluded(r) }); len(named) > 0 {
-		return s.limitAddresses(named)
+		return limitAddresses(named)
 	}
-	return s.limitAddresses(frontAddresses(alive, func(mesh.Record) bool { return true }))
+	return limitAddresses(frontAddresses(alive, func(mesh.Record) bool { return true }))
 }
 
 // excludedRoutes returns the number of routes of a host that an instance's region may not serve.
@@ -104,13 +105,10 @@
 
 // limitAddresses returns at most maxAddresses of the addresses, chosen at random. Neighbours in the
 // sorted list often share a zone and are lost together.
-func (s *Server) limitAddresses(addresses []string) []string {
+func limitAddresses(addresses []string) []string {
 	if len(addresses) <= maxAddresses {
 		return addresses
 	}
-	for i := range maxAddresses {
-		j := i + int(s.randomUint64()%uint64(len(addresses)-i))
-		addresses[i], addresses[j] = addresses[j], addresses[i]
-	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return addresses[:maxAddresses]
 }
--- a/gate/drain.go
+++ b/gate/drain.go
@@ -75,7 +75,7 @@
 		if server != s.callerServer && server != s.hopServer {
 			continue
 		}
-		conns, err := stopListening(l)
+		conns, err := stopAccepting(l)
 		if err != nil {
 			s.log.Info("new connections may be reset", zap.String("address", l.Addr().String()), zap.Error(err))
 		}
--- a/gate/follow.go
+++ b/gate/follow.go
@@ -78,7 +78,7 @@
 	peers := s.regionPeers()
 	switch {
 	case len(peers) > 0 && s.syncFrom(ctx, peers[s.randomUint64()%uint64(len(peers))], s.freshLimits()):
-	case s.mayReadFirst():
+	case s.mayReadFirst(peers):
 		follower.Step(ctx)
 	case len(peers) > 0:
 		clock.Sleep(ctx, retry.nextSpan())
@@ -87,9 +87,10 @@
 	}
 }
 
-// mayReadFirst reports whether this instance, which has no data, may read the store already.
-func (s *Server) mayReadFirst() bool {
-	return s.readerPolicy().readsFirst(s.clock.Now().Sub(s.started), namesOf(s.node.StartingInRegion()), namesOf(s.regionPeers()))
+// mayReadFirst reports whether this instance, which has no data, may read the store already. ready
+// are the other instances of the region that have data.
+func (s *Server) mayReadFirst(ready []mesh.Record) bool {
+	return s.readerPolicy().readsFirst(s.clock.Now().Sub(s.started), namesOf(s.node.StartingInRegion()), namesOf(ready))
 }
 
 // followControl keeps the configuration up to date while this instance reads the store.
@@ -98,7 +99,7 @@
 		switch known := s.state.table.Load() != nil; {
 		case known && !s.readsStore():
 			clock.Sleep(ctx, syncInterval/2)
-		case !known && !s.mayReadFirst():
+		case !known && !s.mayReadFirst(s.regionPeers()):
 			clock.Sleep(ctx, startupRetry)
 		default:
 			follower.Resume(s.state.controlRevision())
--- a/gate/health.go
+++ b/gate/health.go
@@ -57,18 +57,17 @@
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout.Duration())
 	defer cancel()
 	check, err := s.requestHealth(ctx, info.Address, backend.Health, info.ID)
+	s.state.withPool(func(p *pool.Pool, now clock.Time) { p.RecordCheck(now, info.ID, check) })
 	if err != nil {
 		if fault.KindOf[relay.Kind](err) == relay.KindUnsent && ctx.Err() == nil {
 			s.state.recordUnreachable(info.ID)
 		}
-		s.state.withPool(func(p *pool.Pool, now clock.Time) { p.RecordCheck(now, info.ID, pool.Check{}) })
 		s.log.Debug("health check failed", zap.String("endpoint", string(info.ID)), zap.Error(err))
 		return
 	}
 	if check.SameEndpoint {
 		s.state.clearBroken(info.ID)
 	}
-	s.state.withPool(func(p *pool.Pool, now clock.Time) { p.RecordCheck(now, info.ID, check) })
 	s.log.Info("health checked", zap.String("endpoint", string(info.ID)), zap.Bool("healthy", check.Healthy),
 		zap.Bool("same", check.SameEndpoint), zap.Int64("cold", int64(check.ColdRemaining)))
 }
--- a/gate/listen.go
+++ b/gate/listen.go
@@ -1,43 +1,43 @@
 package gate
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/tanagerbridge/tanagerbridge/fault"
 )
 
-// stopListening makes a listener accept no further connections and returns those that were opened but
+// stopAccepting makes a listener accept no further connections and returns those that were opened but
 // not accepted yet: closing the listener would reset them.
-func stopListening(listener net.Listener) ([]net.Conn, error) {
+func stopAccepting(listener net.Listener) ([]net.Conn, error) {
 	tcp, ok := listener.(*net.TCPListener)
 	if !ok {
-		return nil, net.UnknownNetworkError(listener.Addr().Network())
+		return nil, fault.Newf("stop listening", KindListen, "%s is not a TCP address", listener.Addr())
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return nil, err
+		return nil, fault.Wrap("stop listening", KindListen, err)
 	}
 	var accepted []int
-	var failure error
+	var listenErr error
 	err = raw.Control(func(fd uintptr) {
 		// Without a backlog, at most one connection can be opened between the last accept and the end.
-		failure = unix.Listen(int(fd), 0)
+		listenErr = unix.Listen(int(fd), 0)
 		accepted = acceptPending(int(fd))
-		if failure == nil {
-			failure = unix.Shutdown(int(fd), unix.SHUT_RD)
+		if listenErr == nil {
+			listenErr = unix.Shutdown(int(fd), unix.SHUT_RD)
 		}
 	})
-	if err == nil {
-		err = failure
-	}
 	conns, wrapErr := wrapConns(accepted)
-	if err == nil {
-		err = wrapErr
+	if err := errors.Join(err, listenErr, wrapErr); err != nil {
+		return conns, fault.Wrap("stop listening", KindListen, err)
 	}
-	return conns, err
+	return conns, nil
 }
 
 // acceptPending accepts the connections that wait on a listening socket.
--- a/mesh/round.go
+++ b/mesh/round.go
@@ -119,17 +119,16 @@
 		return nil
 	}
 	hops := make(map[ident.Region]int)
+	var silent []*peer
 	for _, p := range remote {
-		if t.acceptsHops(now, p) {
+		switch {
+		case t.acceptsHops(now, p):
 			hops[p.Region]++
+		case !p.down:
+			silent = append(silent, p)
 		}
 	}
-	var missing []*peer
-	for _, p := range remote {
-		if hops[p.Region] < minRegionHops && !p.down && !t.acceptsHops(now, p) {
-			missing = append(missing, p)
-		}
-	}
+	missing := slices.DeleteFunc(silent, func(p *peer) bool { return hops[p.Region] >= minRegionHops })
 	for _, p := range nextInCycle(missing, &t.requestCursor, regionRequestFanout) {
 		message := t.messageTo(now, p)
 		message.WantReply, message.Services = true, t.services
--- a/pool/cache.go
+++ b/pool/cache.go
@@ -83,13 +83,12 @@
 func (c *prefixCache) clear() { *c = prefixCache{} }
 
 // sharedPrefixKey returns the key of the longest prefix that other requests may share, or 0 if
-// there is none. The last part is specific to the request.
-func sharedPrefixKey(parts []PromptPart) (key uint64) {
-	if len(parts) < 2 {
+// there is none. The last part of a prompt is specific to the request.
+func sharedPrefixKey(prefixes []prefix) uint64 {
+	if len(prefixes) < 2 {
 		return 0
 	}
-	prefixes := prefixesOf(parts[:len(parts)-1])
-	return prefixes[len(prefixes)-1].key
+	return prefixes[len(prefixes)-2].key
 }
 
 // sharedPrefixTokens returns the size of the parts that other requests may share.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -89,8 +89,9 @@
 // Plan prepares the placement of a request.
 func (p *Pool) Plan(now clock.Time, request Request) Plan {
 	service := p.service(request.Service)
+	prefixes := prefixesOf(request.Parts)
 	plan := Plan{
-		Request: request, affinity: topByAffinity(service.all, request), prefixes: prefixesOf(request.Parts),
+		Request: request, affinity: topByAffinity(service.all, prefixes, request.HomeRegions), prefixes: prefixes,
 		loads: make([]endpointLoad, len(service.regional)), prefillWeight: basePrefillWeight,
 	}
 	if best := plan.affinity[0]; best != nil && request.Engine {
@@ -112,13 +113,14 @@
 // endpoint is eligible. The plan must have been made at the time now.
 func (p *Pool) Choose(now clock.Time, plan Plan) (best Choice, ok bool) {
 	service := p.service(plan.Service)
-	regionalBest := topByAffinity(service.regional, plan.Request)[0]
+	regionalBest := topByAffinity(service.regional, plan.prefixes, plan.HomeRegions)[0]
+	avoided := p.avoidedZones(now)
 	lowestCost := 0.0
 	p.rotation++
 	for n := range service.regional {
 		index := (n + int(p.rotation%uint64(len(service.regional)))) % len(service.regional)
 		candidate := service.regional[index]
-		if !p.eligible(now, candidate, plan.Request) {
+		if avoided[candidate.Zone] || !p.eligible(now, candidate, plan.Request) {
 			continue
 		}
 		choice, cost := service.estimate(now, candidate, plan.loads[index], plan, plan.missFraction(candidate, regionalBest))
@@ -144,7 +146,7 @@
 }
 
 func (p *Pool) eligible(now clock.Time, candidate *endpoint, request Request) bool {
-	if !candidate.usable(now) || p.evacuated[candidate.Zone] || p.zoneAvoided(now, candidate.Zone) || now.Before(candidate.fullUntil) || slices.Contains(request.ExcludedEndpoints, candidate.ID) {
+	if !candidate.usable(now) || p.evacuated[candidate.Zone] || now.Before(candidate.fullUntil) || slices.Contains(request.ExcludedEndpoints, candidate.ID) {
 		return false
 	}
 	if request.MaxConnections > 0 && len(candidate.sends) >= p.connectionLimit(request) {
@@ -174,14 +176,14 @@
 
 // topByAffinity returns the two endpoints with the highest rendezvous hash for a prompt's shared
 // prefix. All instances choose the same ones, so that the prefix is computed once.
-func topByAffinity(endpoints []*endpoint, request Request) (best [2]*endpoint) {
-	key := sharedPrefixKey(request.Parts)
+func topByAffinity(endpoints []*endpoint, prefixes []prefix, homeRegions []ident.Region) (best [2]*endpoint) {
+	key := sharedPrefixKey(prefixes)
 	if key == 0 {
 		return best
 	}
 	var highestHash [2]uint64
 	for _, e := range endpoints {
-		if e.Leaving || e.delisted || len(request.HomeRegions) > 0 && !slices.Contains(request.HomeRegions, e.Region) {
+		if e.Leaving || e.delisted || len(homeRegions) > 0 && !slices.Contains(homeRegions, e.Region) {
 			continue
 		}
 		hash := mixHash(key ^ e.idHash)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -54,7 +54,7 @@
 	// settled reports whether the other instances have had enough time to announce themselves.
 	settled bool
 	// rotation moves the endpoint at which Choose starts, so that endpoints of equal cost take
-	// turns.
+	// turns, and the endpoint of a suspected zone that is checked next.
 	rotation uint64
 }
 
@@ -331,7 +331,7 @@
 		known.needsCheck = false
 		zone.clear()
 	case zone.suspected(now):
-		zone.suspectedUntil = now.Add(zoneSuspicion)
+		zone.suspect(now)
 	}
 }
 
@@ -364,12 +364,13 @@
 // Summaries returns the capacity of this region, sorted by service. Services without usable
 // endpoints are left out.
 func (p *Pool) Summaries(now clock.Time) (all []Summary) {
+	avoided := p.avoidedZones(now)
 	for name, s := range p.services {
 		summary := Summary{Service: name, Wait: -1}
 		var backlog Backlog
 		usableEndpoints := ident.Tokens(0)
 		for _, e := range s.regional {
-			if !e.usable(now) || p.evacuated[e.Zone] || p.zoneAvoided(now, e.Zone) || e.isCold(now) {
+			if !e.usable(now) || p.evacuated[e.Zone] || avoided[e.Zone] || e.isCold(now) {
 				continue
 			}
 			load := e.currentLoad(now)
--- a/pool/zone.go
+++ b/pool/zone.go
@@ -29,6 +29,8 @@
 
 func (z *zoneState) suspected(now clock.Time) bool { return now.Before(z.suspectedUntil) }
 
+func (z *zoneState) suspect(now clock.Time) { z.suspectedUntil = now.Add(zoneSuspicion) }
+
 func (z *zoneState) clear() {
 	z.suspectedUntil = 0
 	clear(z.failed)
@@ -46,21 +48,28 @@
 // SuspectZone records a sign that a zone of the region is lost, such as the loss of all instances
 // there. Its endpoints get no requests until one of them answers a health check.
 func (p *Pool) SuspectZone(now clock.Time, name ident.Zone) {
-	p.zone(name).suspectedUntil = now.Add(zoneSuspicion)
+	p.zone(name).suspect(now)
 }
 
-// zoneAvoided reports whether the endpoints of a zone are left out. If all zones of the region are
-// suspected, this instance is more likely to be cut off itself.
-func (p *Pool) zoneAvoided(now clock.Time, name ident.Zone) bool {
-	if zone := p.zones[name]; zone == nil || !zone.suspected(now) {
-		return false
-	}
-	for _, other := range p.zones {
-		if other.endpoints > 0 && !other.suspected(now) {
-			return true
+// avoidedZones returns the zones whose endpoints are left out. If all zones of the region are
+// suspected, this instance is more likely to be cut off itself, and none is left out.
+func (p *Pool) avoidedZones(now clock.Time) map[ident.Zone]bool {
+	var avoided map[ident.Zone]bool
+	usable := false
+	for name, zone := range p.zones {
+		if !zone.suspected(now) {
+			usable = usable || zone.endpoints > 0
+			continue
+		}
+		if avoided == nil {
+			avoided = make(map[ident.Zone]bool)
 		}
+		avoided[name] = true
+	}
+	if !usable {
+		return nil
 	}
-	return false
+	return avoided
 }
 
 // recordZoneAnswer records that an endpoint has answered.
@@ -71,7 +80,7 @@
 	zone := p.zone(failed.Zone)
 	zone.failed[failed.ID] = struct{}{}
 	if len(zone.failed) >= zoneFailures {
-		zone.suspectedUntil = now.Add(zoneSuspicion)
+		zone.suspect(now)
 	}
 }
 
