--- a/core/gossip.go
+++ b/core/gossip.go
@@ -76,7 +76,9 @@
 	if c.fleet.ApplyDepartures(now, received.Departures) {
 		c.emit(PushGossip{})
 	}
-	c.mergeReports(now, received.CrashReports)
+	if c.suspects.MergeCrashReports(now, received.CrashReports) {
+		c.dispatchAllWaiting(now)
+	}
 	for _, l := range received.Loads {
 		if l.Region != c.region {
 			c.remoteLoads.update(now, l)
--- a/core/lease.go
+++ b/core/lease.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"slices"
 	"strconv"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
@@ -40,8 +39,7 @@
 // suspectOwner returns the entry that keeps the lease of a suspect. Only entries of regions that may
 // learn of the request are chosen.
 func (c *Core) suspectOwner(request *activeRequest) ident.Entry {
-	regions := c.visibleRegions(request)
-	visible := func(region ident.Region) bool { return len(regions) == 0 || slices.Contains(regions, region) }
+	visible := gossip.CrashReport{Regions: c.visibleRegions(request)}.Visible
 	var names []ident.Entry
 	if visible(c.region) {
 		names = append(names, c.entry)
@@ -137,15 +135,8 @@
 	return crash.LeaseReply{Granted: c.leases.Grant(now, request.Fingerprint, request.Holder)}
 }
 
-// endRequest removes a request that has been answered.
+// endRequest removes a request that has been answered or given up.
 func (c *Core) endRequest(now clock.Time, request *activeRequest) {
 	c.returnLease(now, request)
 	c.requests.remove(request.Request)
 }
-
-// mergeReports merges the crash reports of another entry.
-func (c *Core) mergeReports(now clock.Time, reports []gossip.CrashReport) {
-	if c.suspects.MergeCrashReports(now, reports) {
-		c.dispatchAllWaiting(now)
-	}
-}
--- a/core/tick.go
+++ b/core/tick.go
@@ -25,7 +25,7 @@
 // than the prompt length and the load of its endpoint account for, if the retry budget
 // permits. The first answer wins and the other attempt is cancelled.
 func (c *Core) hedgeIfLate(now clock.Time, request *activeRequest) {
-	if !c.mayHedge(now, request) {
+	if !c.hedgeAllowed(now, request) {
 		return
 	}
 	doc := c.bundles.Current()
@@ -50,9 +50,9 @@
 	c.dispatch(now, request, choice, true)
 }
 
-// mayHedge reports whether a request may have a second attempt beside its first one. A suspect runs
+// hedgeAllowed reports whether a request may have a second attempt beside its first one. A suspect runs
 // only once at a time.
-func (c *Core) mayHedge(now clock.Time, request *activeRequest) bool {
+func (c *Core) hedgeAllowed(now clock.Time, request *activeRequest) bool {
 	if !request.mayHedge || request.nonIdempotent || request.answerStartedAt > 0 || len(request.attempts) != 1 {
 		return false
 	}
--- a/core/tickets.go
+++ b/core/tickets.go
@@ -52,7 +52,7 @@
 	if request == nil {
 		return
 	}
-	c.requests.remove(event.Request)
+	c.endRequest(now, request)
 	resolved, refusal := c.resolve(now, request.Head)
 	if refusal != nil && event.Outcome.State == ledger.Void {
 		c.refuse(now, event.Request, refusal)
--- a/crash/lease.go
+++ b/crash/lease.go
@@ -1,6 +1,8 @@
 package crash
 
 import (
+	"maps"
+
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -53,10 +55,10 @@
 		return false
 	}
 	if !ok && len(l.held) >= maxRecords {
-		l.removeExpired(now)
-	}
-	if !ok && len(l.held) >= maxRecords {
-		return false
+		maps.DeleteFunc(l.held, func(_ ident.Fingerprint, old lease) bool { return !now.Before(old.expires) })
+		if len(l.held) >= maxRecords {
+			return false
+		}
 	}
 	l.held[fingerprint] = lease{holder, now.Add(LeaseTerm)}
 	return true
@@ -68,11 +70,3 @@
 		delete(l.held, fingerprint)
 	}
 }
-
-func (l *Leases) removeExpired(now clock.Time) {
-	for fingerprint, known := range l.held {
-		if !now.Before(known.expires) {
-			delete(l.held, fingerprint)
-		}
-	}
-}
--- a/entry/call.go
+++ b/entry/call.go
@@ -16,6 +16,7 @@
 	"github.com/tanagerbridge/tanagerbridge/fleet"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/ledger"
+	"github.com/tanagerbridge/tanagerbridge/logs"
 )
 
 // maxAnswerSize bounds the response of a plain service, which is buffered until complete.
@@ -62,21 +63,16 @@
 }
 
 func (p *plainCall) run(ctx context.Context, w http.ResponseWriter, arrived core.RequestArrived) {
-	p.server.contain("request", func() { p.runActions(ctx, w, arrived) }, func() {
-		p.server.shell.apply(core.CallerDisconnected{Request: p.pending.id})
-		p.drainActions()
+	defer logs.RecoverPanic(p.server.log, "request", func() {
+		p.server.countPanic()
+		p.endDisconnected()
 		p.server.refuse(w, p.pending.id, internalError())
 	})
-}
-
-func (p *plainCall) runActions(ctx context.Context, w http.ResponseWriter, arrived core.RequestArrived) {
-	shell := p.server.shell
-	shell.apply(arrived)
+	p.server.shell.apply(arrived)
 	for {
 		select {
 		case <-ctx.Done():
-			shell.apply(core.CallerDisconnected{Request: p.pending.id})
-			p.drainActions()
+			p.endDisconnected()
 			return
 		case action := <-p.pending.actions:
 			if p.execute(ctx, w, action) {
@@ -86,8 +82,10 @@
 	}
 }
 
-// drainActions processes the remaining actions after the caller has disconnected.
-func (p *plainCall) drainActions() {
+// endDisconnected ends a request whose caller has disconnected or whose handler has failed, and
+// processes the remaining actions.
+func (p *plainCall) endDisconnected() {
+	p.server.shell.apply(core.CallerDisconnected{Request: p.pending.id})
 	for {
 		select {
 		case action := <-p.pending.actions:
@@ -140,14 +138,17 @@
 	p.cancels = append(p.cancels, attemptCancel{number: dispatch.Attempt, cancel: cancel})
 	go func() {
 		defer cancel()
-		ended := core.AttemptEnded{Outcome: fleet.Broken}
-		p.server.contain("attempt", func() { ended = p.attempt(ctx, dispatch) }, func() {})
+		ended := p.attempt(ctx, dispatch)
 		ended.Request, ended.Attempt = dispatch.Request, dispatch.Attempt
 		p.server.shell.apply(ended)
 	}()
 }
 
-func (p *plainCall) attempt(ctx context.Context, dispatch core.Dispatch) core.AttemptEnded {
+func (p *plainCall) attempt(ctx context.Context, dispatch core.Dispatch) (ended core.AttemptEnded) {
+	defer logs.RecoverPanic(p.server.log, "attempt", func() {
+		p.server.countPanic()
+		ended.Outcome = fleet.Broken
+	})
 	req, err := http.NewRequestWithContext(ctx, p.method, "http://"+dispatch.Address+p.target, bytes.NewReader(p.body))
 	if err != nil {
 		return core.AttemptEnded{Outcome: fleet.Refused}
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -8,6 +8,7 @@
 	"github.com/tanagerbridge/tanagerbridge/caller"
 	"github.com/tanagerbridge/tanagerbridge/core"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/logs"
 )
 
 // handleComplete serves a completion.
@@ -77,22 +78,18 @@
 
 // run executes the core's actions until the request has ended.
 func (x *engineCall) run(ctx context.Context, arrived core.RequestArrived) {
-	x.server.contain("request", func() { x.runActions(ctx, arrived) }, func() {
+	defer logs.RecoverPanic(x.server.log, "request", func() {
+		x.server.countPanic()
 		x.endDisconnected()
 		x.writer.writeRefusal(x.server, internalError())
 	})
-}
-
-func (x *engineCall) runActions(ctx context.Context, arrived core.RequestArrived) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	shell := x.server.shell
-	shell.apply(arrived)
+	x.server.shell.apply(arrived)
 	for {
 		select {
 		case <-ctx.Done():
-			shell.apply(core.CallerDisconnected{Request: x.pending.id})
-			x.cancelAll()
+			x.endDisconnected()
 			return
 		case action := <-x.pending.actions:
 			if x.execute(ctx, action) {
--- a/entry/contain.go
+++ b/entry/contain.go
@@ -11,15 +11,7 @@
 // exitPanic is the exit status after a panic in the core.
 const exitPanic = 3
 
-// contain runs a task that uses what an endpoint has sent. A panic ends only the task; onPanic then
-// reports to the core what has become of it.
-func (s *Server) contain(task string, run, onPanic func()) {
-	defer logs.RecoverPanic(s.log, task, func() {
-		s.metrics.panics.Inc(1)
-		onPanic()
-	})
-	run()
-}
+func (s *Server) countPanic() { s.metrics.panics.Inc(1) }
 
 // endOnPanic ends the process after a panic in the core, whose state may be half changed. It must be
 // deferred directly.
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -19,6 +19,7 @@
 	"github.com/tanagerbridge/tanagerbridge/fleet"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/ledger"
+	"github.com/tanagerbridge/tanagerbridge/logs"
 	"github.com/tanagerbridge/tanagerbridge/stream"
 )
 
@@ -94,9 +95,7 @@
 		old.close()
 	}
 	x.attempts = append(x.attempts, attempt)
-	go x.server.contain("attempt", func() { x.openStream(ctx, attempt, sent) }, func() {
-		x.endAttempt(attempt, core.AttemptEnded{Outcome: fleet.Broken})
-	})
+	go x.openStream(ctx, attempt, sent)
 }
 
 func (a *engineAttempt) close() {
@@ -109,6 +108,10 @@
 }
 
 func (x *engineCall) openStream(ctx context.Context, attempt *engineAttempt, sent progress) {
+	defer logs.RecoverPanic(x.server.log, "attempt", func() {
+		x.server.countPanic()
+		x.endAttempt(attempt, core.AttemptEnded{Outcome: fleet.Broken})
+	})
 	if !x.server.shell.maySend(attempt.Dispatch) {
 		time.Sleep(unsentRetryDelay.Duration())
 		x.endAttempt(attempt, core.AttemptEnded{Outcome: fleet.Refused})
@@ -288,7 +291,7 @@
 	return nil
 }
 
-// endDisconnected ends a request whose caller has disconnected.
+// endDisconnected ends a request whose caller has disconnected or whose handler has failed.
 func (x *engineCall) endDisconnected() {
 	x.server.shell.apply(core.CallerDisconnected{Request: x.pending.id})
 	x.cancelAll()
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -20,6 +20,7 @@
 	"github.com/tanagerbridge/tanagerbridge/fleet"
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/logs"
 	"github.com/tanagerbridge/tanagerbridge/watch"
 )
 
@@ -239,9 +240,7 @@
 // pollEndpoint reads a load report, applies the result to the core and reports whether the
 // poll succeeded.
 func (s *Server) pollEndpoint(ctx context.Context, target fleet.Target) bool {
-	var report fleet.Report
-	err := errors.New("load report: internal error")
-	s.contain("load report", func() { report, err = s.fetchLoad(ctx, target.Address) }, func() {})
+	report, err := s.fetchLoad(ctx, target.Address)
 	if err != nil {
 		if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
 			return false
@@ -266,7 +265,11 @@
 	Loading []string  `json:"loading"`
 }
 
-func (s *Server) fetchLoad(ctx context.Context, address string) (fleet.Report, error) {
+func (s *Server) fetchLoad(ctx context.Context, address string) (report fleet.Report, err error) {
+	defer logs.RecoverPanic(s.log, "load report", func() {
+		s.countPanic()
+		err = errors.New("load report: internal error")
+	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", http.NoBody)
 	if err != nil {
 		return fleet.Report{}, err
@@ -283,7 +286,7 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&decoded); err != nil {
 		return fleet.Report{}, errors.Wrap(err, "load report")
 	}
-	report := fleet.Report{
+	report = fleet.Report{
 		Age: decoded.Age, State: fleet.Condition(decoded.State), Slots: decoded.Slots, Running: decoded.Running,
 		Waiting: decoded.Waiting, Prefixes: decoded.Prefixes, Loading: decoded.Loading,
 	}
--- a/peer/leave.go
+++ b/peer/leave.go
@@ -54,15 +54,8 @@
 	if to == n.config.Self.Entry {
 		return n.config.Delegate.TicketOutcome(t), nil
 	}
-	address, ok := n.address(to)
-	if !ok {
-		return ledger.Outcome{}, fault.Newf("query ticket", KindUnreachable, "no address known for %s", to)
-	}
-	reply, err := wire.Call[queryRequest, queryReply](ctx, n.client, address, queryKind, queryRequest{Ticket: t})
-	if err != nil {
-		return ledger.Outcome{}, fault.Wrap("query ticket", KindUnreachable, err)
-	}
-	return reply.Outcome, nil
+	reply, err := call[queryRequest, queryReply](ctx, n, "query ticket", to, queryKind, queryRequest{Ticket: t})
+	return reply.Outcome, err
 }
 
 func (n *Node) handleQuery(_ context.Context, _ wire.Peer, request queryRequest) (queryReply, error) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -182,6 +182,20 @@
 	return address, ok
 }
 
+// call sends a request to an entry. Errors are of kind KindUnreachable and have the operation op.
+func call[Request, Reply any](ctx context.Context, n *Node, op string, to ident.Entry, kind string, request Request) (Reply, error) {
+	var none Reply
+	address, ok := n.address(to)
+	if !ok {
+		return none, fault.Newf(op, KindUnreachable, "no address known for %s", to)
+	}
+	reply, err := wire.Call[Request, Reply](ctx, n.client, address, kind, request)
+	if err != nil {
+		return none, fault.Wrap(op, KindUnreachable, err)
+	}
+	return reply, nil
+}
+
 // logChanges logs when the number of live members or the readiness has changed.
 func (n *Node) logChanges() {
 	n.mu.Lock()
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -67,13 +67,9 @@
 
 // sendPing exchanges gossip with an entry. It fails if another entry answers at its address.
 func (n *Node) sendPing(ctx context.Context, to ident.Entry, seq uint64) error {
-	address, ok := n.address(to)
-	if !ok {
-		return fault.Newf("ping", KindUnreachable, "no address known for %s", to)
-	}
-	reply, err := wire.Call[pingRequest, ack](ctx, n.client, address, pingKind, pingRequest{Seq: seq, Gossip: n.gossipFor(to)})
+	reply, err := call[pingRequest, ack](ctx, n, "ping", to, pingKind, pingRequest{Seq: seq, Gossip: n.gossipFor(to)})
 	if err != nil {
-		return fault.Wrap("ping", KindUnreachable, err)
+		return err
 	}
 	n.receive(reply.Gossip)
 	if reply.Gossip.From != to {
@@ -83,14 +79,10 @@
 }
 
 func (n *Node) sendRelay(ctx context.Context, probe member.ProbeRequest) error {
-	address, ok := n.address(probe.To)
-	if !ok {
-		return fault.Newf("relay", KindUnreachable, "no address known for %s", probe.To)
-	}
 	request := relayRequest{Seq: probe.Seq, Target: probe.Target, Gossip: n.gossipFor(probe.To)}
-	reply, err := wire.Call[relayRequest, ack](ctx, n.client, address, relayKind, request)
+	reply, err := call[relayRequest, ack](ctx, n, "relay", probe.To, relayKind, request)
 	if err != nil {
-		return fault.Wrap("relay", KindUnreachable, err)
+		return err
 	}
 	n.receive(reply.Gossip)
 	return nil
--- a/peer/push.go
+++ b/peer/push.go
@@ -161,15 +161,11 @@
 }
 
 func (n *Node) downloadBundle(from ident.Entry) ([]byte, error) {
-	address, ok := n.address(from)
-	if !ok {
-		return nil, fault.Newf("fetch", KindUnreachable, "no address known for %s", from)
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	reply, err := wire.Call[fetchRequest, fetchReply](ctx, n.client, address, fetchKind, fetchRequest{})
+	reply, err := call[fetchRequest, fetchReply](ctx, n, "fetch", from, fetchKind, fetchRequest{})
 	if err != nil {
-		return nil, fault.Wrap("fetch", KindUnreachable, err)
+		return nil, err
 	}
 	if len(reply.Bundle) == 0 {
 		return nil, fault.Newf("fetch", KindUnreachable, "%s has no bundle", from)
