feat(gate): log and count which side closed a connection, and why

The request line now has a field closed (caller, idle, drain, cut off), a line says when a connection is closed after a request had begun to arrive on it, and counters connections.closed.REASON and connections.closed.in_request count both. At most one line is logged for each connection. When connections are closed does not change.

--- a/gate/drain.go
+++ b/gate/drain.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -54,6 +52,7 @@
 	s.stopListening(ctx)
 	ctx, cancel := context.WithTimeout(ctx, max(0, end.Sub(s.clock.Now())).Duration())
 	defer cancel()
+	s.conns.draining.Store(true)
 	var group sync.WaitGroup
 	for _, server := range []*http.Server{s.callerServer, s.hopServer} {
 		group.Go(func() {
@@ -63,6 +62,7 @@
 		})
 	}
 	group.Wait()
+	s.conns.cutOff()
 	s.Close()
 	s.log.Info("stopped")
 }
@@ -79,6 +79,9 @@
 		if err != nil {
 			s.log.Info("new connections may be reset", zap.String("address", l.Addr().String()), zap.Error(err))
 		}
+		for i, c := range conns {
+			conns[i] = s.conns.track(c, server == s.callerServer)
+		}
 		serveConns(server, l.Addr(), conns)
 	}
 	// The servers must know all connections before they are shut down.
@@ -112,50 +115,3 @@
 		header["Connection"] = []string{"close"}
 	}
 }
-
-// idleConns closes callers' connections that exceed the idle timeout of the routing table in
-// force.
-type idleConns struct {
-	server *Server
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
-
-func newIdleConns(server *Server) *idleConns {
-	return &idleConns{server: server, timers: make(map[net.Conn]*time.Timer)}
-}
-
-func (i *idleConns) connStateChanged(conn net.Conn, state http.ConnState) {
-	if state == http.StateNew || state == http.StateActive {
-		i.server.lastArrival.Store(int64(i.server.clock.Now()))
-	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if timer := i.timers[conn]; timer != nil {
-		timer.Stop()
-		delete(i.timers, conn)
-	}
-	if state != http.StateIdle {
-		return
-	}
-	if limit := i.idleTimeout(); limit > 0 {
-		i.timers[conn] = time.AfterFunc(limit, func() { i.expire(conn) })
-	}
-}
-
-func (i *idleConns) idleTimeout() time.Duration {
-	if table := i.server.state.table.Load(); table != nil {
-		return table.Bounds.IdleTimeout.Duration()
-	}
-	return 0
-}
-
-func (i *idleConns) expire(conn net.Conn) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.timers[conn] == nil {
-		return
-	}
-	delete(i.timers, conn)
-	_ = conn.Close() // the caller may have closed it already
-}
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -313,9 +313,14 @@
 func (f *inflight) finish(outcome string, status int) {
 	total := f.server.clock.Now().Sub(f.arrived)
 	f.server.metrics.recordRequest(f.route.Name, outcome, int64(total))
+	closed := ""
+	if outcome == "left" {
+		closed = closedBy(f.request.Context())
+	}
 	f.server.log.Info("request", zap.String("request", f.meta.AttemptID), zap.String("outcome", outcome), zap.Int("status", status),
 		zap.String("route", f.route.Name), zap.String("to", f.lastDestination), zap.String("last", f.lastOutcome), zap.Int("sends", f.sends),
 		zap.Bool("hopped", f.hopped), zap.Int("missing", int(f.uncachedTokens)),
 		zap.Int("prompt", int(f.meta.PromptTokens)), zap.Uint64("version", uint64(f.table.Version)), zap.Int64("total", int64(total)),
-		zap.Int64("first", int64(f.firstEventDelay)), zap.Int64("pause", int64(f.longestPause)), zap.Int64("left", int64(f.remaining())))
+		zap.Int64("first", int64(f.firstEventDelay)), zap.Int64("pause", int64(f.longestPause)), zap.Int64("left", int64(f.remaining())),
+		zap.String("closed", closed))
 }
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -28,6 +28,9 @@
 	syncBytes gometrics.Counter
 	// meshBytes counts the bytes of datagrams that are sent to other instances.
 	meshBytes gometrics.Counter
+	// closedInRequest counts the connections that this instance closed after a request had begun to
+	// arrive and before it was handled.
+	closedInRequest gometrics.Counter
 }
 
 func newMetrics(registry gometrics.Registry) *metrics {
@@ -35,6 +38,7 @@
 	return &metrics{
 		registry: registry, connections: counter("endpoint.connections"), storeFailures: counter("store.failures"),
 		active: counter("requests.active"), syncBytes: counter("sync.bytes"), panics: counter("panics"), meshBytes: counter("mesh.bytes"),
+		closedInRequest: counter("connections.closed.in_request"),
 	}
 }
 
@@ -55,6 +59,11 @@
 	gometrics.GetOrRegisterCounter("sends."+outcome, m.registry).Inc(1)
 }
 
+// recordClose counts a connection that this instance closes by reason.
+func (m *metrics) recordClose(reason closeReason) {
+	gometrics.GetOrRegisterCounter("connections.closed."+strings.ReplaceAll(string(reason), " ", "_"), m.registry).Inc(1)
+}
+
 // ServeHTTP writes one line per metric: its name and its value.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	var lines []string
--- a/gate/server.go
+++ b/gate/server.go
@@ -88,7 +88,7 @@
 	hopServer    *http.Server
 	listeners    []net.Listener
 	servers      []*http.Server
-	idleConns    *idleConns
+	conns        *tracker
 	cancel       context.CancelFunc
 	tasks        sync.WaitGroup
 }
@@ -108,7 +108,7 @@
 		metrics: counters, state: newState(config, counters), started: config.Clock.Now(),
 		startupDelay: clock.Span(rand.Int64N(int64(startupSpread))),
 	}
-	server.idleConns = newIdleConns(server)
+	server.conns = newTracker(server)
 	ctx, server.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	if err := server.bind(ctx); err != nil {
 		server.Close()
@@ -120,7 +120,11 @@
 	}
 	server.startLoops(ctx, config.Source)
 	for i, l := range server.listeners {
-		go func() { _ = server.servers[i].Serve(l) }()
+		serving := server.servers[i]
+		if serving == server.callerServer || serving == server.hopServer {
+			l = trackedListener{l, server.conns, serving == server.callerServer}
+		}
+		go func() { _ = serving.Serve(l) }()
 	}
 	server.log.Info("started", zap.String("front", server.settings.FrontAddress), zap.String("region", string(server.settings.Region)),
 		zap.String("zone", string(server.settings.Zone)), zap.Strings("seeds", server.settings.Seeds), zap.Bool("first", server.settings.FirstStart))
@@ -135,10 +139,11 @@
 	if s.callerServer, err = s.listen(ctx, &s.settings.FrontAddress, http.HandlerFunc(s.serveCaller)); err != nil {
 		return err
 	}
-	s.callerServer.ConnState = s.idleConns.connStateChanged
+	s.conns.attach(s.callerServer)
 	if s.hopServer, err = s.listen(ctx, &hop, s.instanceHandler()); err != nil {
 		return err
 	}
+	s.conns.attach(s.hopServer)
 	s.settings.HopPort = portOf(hop)
 	ready := mux.NewRouter()
 	ready.HandleFunc(paths.Ready, s.serveReady)
