fix(gate): close no connection between the first byte of a request and its response

Callers saw a kept connection close without a response although the request had been forwarded to an endpoint.

Cause: net/http reports a connection as idle or new until it has read and parsed the whole header of a request. The idle timeout and Server.Shutdown at the end of a drain closed connections by this state. A request that was being read was then handled on a closed connection: it was forwarded, its context ended at once, and the caller got nothing. Shutdown also made net/http drop a request that it had just read.

Change: a connection without a request is no longer closed but expires. Its pending read fails, and net/http closes it; data that has arrived by then is read first, and a request that has begun to arrive withdraws the expiry. A drain lets unused connections expire and waits until the others have ended, then closes the servers; Shutdown is not used any more. The same holds for connections of other instances. A header that stops after its first byte is bounded by headerTimeout as before.

--- a/gate/conns.go
+++ b/gate/conns.go
@@ -2,15 +2,27 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
 )
 
+// newConnWait is how long a draining instance waits for the first request on a new connection.
+const newConnWait = 5 * clock.Second
+
+// expired is a deadline in the past.
+var expired = time.Unix(1, 0)
+
 // closeReason says why this instance closed a connection.
 type closeReason string
 
@@ -31,8 +43,6 @@
 	server *Server
 	mu     sync.Mutex
 	conns  map[*trackedConn]struct{}
-	// draining reports whether connections without a request are being closed.
-	draining atomic.Bool
 }
 
 func newTracker(server *Server) *tracker {
@@ -40,7 +50,8 @@
 }
 
 // trackedConn is an accepted connection that knows whether a request has begun to arrive and which
-// side closed it.
+// side closed it. Unused connections are not closed but expire: net/http closes them when its read
+// fails, so that a request that arrives at the same time is served.
 type trackedConn struct {
 	*net.TCPConn
 	tracker *tracker
@@ -51,7 +62,14 @@
 	state http.ConnState
 	// received reports whether bytes have arrived since the connection was opened or became idle.
 	received bool
-	timer    *time.Timer
+	// early reports whether the first byte of the next request has arrived before the end of the current
+	// one: net/http reads one byte while it handles a request.
+	early bool
+	// opened is when the connection was accepted.
+	opened clock.Time
+	timer  *time.Timer
+	// expiring is the reason for which the connection expires, or "".
+	expiring closeReason
 	// changes counts the changes of state, so that a timer that fires late has no effect.
 	changes uint64
 	closed  closeReason
@@ -63,7 +81,7 @@
 	if !ok {
 		return conn // unreachable: all listeners are TCP listeners
 	}
-	return &trackedConn{TCPConn: tcp, tracker: t, caller: caller}
+	return &trackedConn{TCPConn: tcp, tracker: t, caller: caller, opened: t.server.clock.Now()}
 }
 
 // trackedListener wraps the connections that it accepts.
@@ -126,45 +144,125 @@
 		c.timer = nil
 	}
 	c.changes++
-	if state != http.StateIdle {
-		return
+	switch state {
+	case http.StateActive:
+		c.early = false
+		// A request that was buffered has been read without a further read of the connection.
+		c.stopExpiry()
+	case http.StateIdle:
+		c.received, c.early = c.early, false
+		c.startTimer()
 	}
-	c.received = false
-	if limit := c.tracker.idleTimeout(); c.caller && limit > 0 {
-		changes := c.changes
+}
+
+// startTimer starts the timer of an idle connection. The caller holds mu.
+func (c *trackedConn) startTimer() {
+	changes := c.changes
+	if c.received {
+		c.timer = time.AfterFunc(headerTimeout, func() { c.expireHeader(changes) })
+	} else if limit := c.tracker.idleTimeout(); c.caller && limit > 0 {
 		c.timer = time.AfterFunc(limit, func() { c.expire(changes) })
 	}
 }
 
+// expire ends the connection because of the idle timeout, unless its state has changed since.
 func (c *trackedConn) expire(changes uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.changes != changes {
+	if c.changes == changes {
+		c.startExpiry(closedIdle)
+	}
+}
+
+// expireHeader ends the connection because the rest of a request header has not arrived, unless its state
+// has changed since.
+func (c *trackedConn) expireHeader(changes uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.changes == changes {
+		c.received = false
+		c.startExpiry(closedIdle)
+	}
+}
+
+// expireUnused ends the connection of a draining instance if no request is expected on it.
+func (c *trackedConn) expireUnused(now clock.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.opened) > newConnWait {
+		c.startExpiry(closedDrain)
+	}
+}
+
+// startExpiry makes the pending read fail, unless a request has begun to arrive. The caller holds mu.
+func (c *trackedConn) startExpiry(reason closeReason) {
+	if c.received || c.expiring != "" {
+		return
+	}
+	c.expiring = reason
+	_ = c.TCPConn.SetReadDeadline(expired) // an error means that the connection is closed
+}
+
+// stopExpiry withdraws an expiry. The caller holds mu.
+func (c *trackedConn) stopExpiry() {
+	if c.expiring == "" {
 		return
 	}
-	c.recordClose(closedIdle)
-	_ = c.TCPConn.Close() // the caller may have closed it already
+	c.expiring = ""
+	_ = c.TCPConn.SetReadDeadline(time.Time{}) // an error means that the connection is closed
+}
+
+// SetReadDeadline sets the deadline of reads, unless the connection expires.
+func (c *trackedConn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expiring != "" {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(deadline)
 }
 
 // Read reads from the connection.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	if n > 0 {
-		c.mu.Lock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == 0 && c.expiring != "" && errors.Is(err, os.ErrDeadlineExceeded) {
+		if n = c.readArrived(b); n == 0 {
+			c.recordClose(c.expiring)
+			return 0, err
+		}
+		err = nil
+	}
+	if n > 0 && c.state == http.StateActive && len(b) == 1 {
+		c.early = true // only the read of net/http beside a handler has this size
+	}
+	if n > 0 && !c.received {
 		c.received = true
-		c.mu.Unlock()
+		c.stopExpiry()
+		if c.state == http.StateIdle {
+			// net/http sets its own deadline only after the first four bytes of a request.
+			_ = c.TCPConn.SetReadDeadline(time.Now().Add(headerTimeout)) // an error is returned by the next read
+		}
 	}
 	return n, err
 }
 
-// Close closes the connection.
-func (c *trackedConn) Close() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.tracker.draining.Load() && (c.state == http.StateNew || c.state == http.StateIdle) {
-		c.recordClose(closedDrain)
+// readArrived returns the number of bytes that had arrived before the connection expired, which it
+// reads without waiting.
+func (c *trackedConn) readArrived(b []byte) (n int) {
+	if len(b) == 0 || c.TCPConn.SetReadDeadline(time.Time{}) != nil {
+		return 0
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
 	}
-	return c.TCPConn.Close()
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _ = unix.Read(int(fd), b) // without data or after an error, nothing has arrived
+		return true
+	})
+	return max(0, n)
 }
 
 // recordClose records that this instance closes the connection. Only connections on which a request
@@ -175,31 +273,56 @@
 	}
 	c.closed = reason
 	c.tracker.server.metrics.recordClose(reason)
-	if c.received {
+	if c.received && c.state != http.StateActive { // the end of an active request is logged
 		c.tracker.server.metrics.closedInRequest.Inc(1)
 		c.tracker.server.log.Info("connection closed during a request", zap.String("remote", c.RemoteAddr().String()), zap.String("reason", string(reason)))
 	}
 }
 
+// closeUnused ends the connections on which no request is expected, waits until all others have ended
+// too, and reports whether that happened before ctx ended.
+func (t *tracker) closeUnused(ctx context.Context) bool {
+	for {
+		open := t.open()
+		if len(open) == 0 {
+			return true
+		}
+		now := t.server.clock.Now()
+		for _, c := range open {
+			c.expireUnused(now)
+		}
+		if !clock.Sleep(ctx, quietPollInterval) {
+			return false
+		}
+	}
+}
+
+func (t *tracker) open() []*trackedConn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.conns))
+}
+
 // cutOff records that the connections that are still open are closed, and returns how many of them carry
 // a request.
 func (t *tracker) cutOff() (busy int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for c := range t.conns {
-		c.mu.Lock()
-		if c.state == http.StateActive {
+	for _, c := range t.open() {
+		if c.recordCutOff() {
 			busy++
 		}
-		if c.closed == "" {
-			c.closed = closedCutOff // the request is logged when it ends
-			t.server.metrics.recordClose(closedCutOff)
-		}
-		c.mu.Unlock()
 	}
 	return busy
 }
 
+// recordCutOff records that the connection is closed at the end of the grace period, and reports whether
+// it carries a request.
+func (c *trackedConn) recordCutOff() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordClose(closedCutOff)
+	return c.state == http.StateActive || c.received
+}
+
 // closedBy returns which side closed the connection of a request whose context has ended: "caller", or
 // why this instance did.
 func closedBy(ctx context.Context) string {
--- a/gate/drain.go
+++ b/gate/drain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 
 	"go.uber.org/zap"
 
@@ -52,17 +51,9 @@
 	s.stopListening(ctx)
 	ctx, cancel := context.WithTimeout(ctx, max(0, end.Sub(s.clock.Now())).Duration())
 	defer cancel()
-	s.conns.draining.Store(true)
-	var group sync.WaitGroup
-	for _, server := range []*http.Server{s.callerServer, s.hopServer} {
-		group.Go(func() {
-			if err := server.Shutdown(ctx); err != nil {
-				s.log.Warn("requests cut off", zap.Int64("active", s.metrics.active.Count()), zap.Error(err))
-			}
-		})
+	if !s.conns.closeUnused(ctx) {
+		s.log.Warn("requests cut off", zap.Int("active", s.conns.cutOff()))
 	}
-	group.Wait()
-	s.conns.cutOff()
 	s.Close()
 	s.log.Info("stopped")
 }
@@ -84,7 +75,7 @@
 		}
 		serveConns(server, l.Addr(), conns)
 	}
-	// The servers must know all connections before they are shut down.
+	// All connections must be known before the unused ones are closed.
 	clock.Sleep(ctx, trackingTime)
 }
 
--- a/gate/front.go
+++ b/gate/front.go
@@ -70,6 +70,7 @@
 	route := table.Match(r.Host, path)
 	if route == nil {
 		s.log.Info("no route", zap.String("host", r.Host), zap.String("path", path), zap.Uint64("version", uint64(table.Version)))
+		s.setConnectionClose(w.Header())
 		writeError(w, http.StatusNotFound, caller.RanNo, caller.ReasonService, "no route for this host and path", "")
 		return
 	}
--- a/gate/server.go
+++ b/gate/server.go
@@ -325,6 +325,7 @@
 // Close stops the instance immediately.
 func (s *Server) Close() {
 	s.cancel()
+	s.conns.cutOff()
 	for i, l := range s.listeners {
 		_ = s.servers[i].Close()
 		_ = l.Close()
