fix(gate): never end a request of a caller that left with a complete response

A caller that closed its side for writing after its request got 200 with an empty body, although the request had been forwarded and had no response; a stream that had begun ended as if it were complete.

Cause: the end of the caller's data ends the request's context, which was taken for a caller that is gone. The handler returned without having written anything, and net/http then sends an empty 200, or the end of the chunks of a stream.

Change: a request that ends with outcome left aborts its connection.

Evidence: TestHalfClosedCallerGetsNoCompleteResponse fails on the code before with 200 and an empty body and passes now, two runs. TestCallerLeaves passes.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -97,7 +97,7 @@
 	f.server.setConnectionClose(header)
 	f.writer.WriteHeader(f.buffered.status)
 	if _, err := f.writer.Write(f.buffered.body); err != nil {
-		f.finish("left", f.buffered.status)
+		f.leave(f.buffered.status)
 		return
 	}
 	f.finish("answered", f.buffered.status)
@@ -198,3 +198,10 @@
 	f.finish("broken", 0)
 	panic(http.ErrAbortHandler)
 }
+
+// leave ends a request whose caller has disconnected. A caller that is there nevertheless must not take a
+// response that has not been written for a complete one.
+func (f *inflight) leave(status int) {
+	f.finish("left", status)
+	panic(http.ErrAbortHandler)
+}
--- a/gate/events.go
+++ b/gate/events.go
@@ -37,7 +37,7 @@
 			pending = append(pending, chunk[:n]...)
 			if writeErr := a.forwardEvents(response, &pending); writeErr != nil {
 				a.recordEnd(pool.Cancelled)
-				inflight.finish("left", http.StatusOK)
+				inflight.leave(http.StatusOK)
 				return resultDone
 			}
 		}
@@ -106,7 +106,7 @@
 	a.recordEnd(pool.Complete)
 	if len(rest) > 0 {
 		if err := inflight.writeEvents(rest); err != nil {
-			inflight.finish("left", http.StatusOK)
+			inflight.leave(http.StatusOK)
 			return resultDone
 		}
 	}
