--- a/gate/drain.go
+++ b/gate/drain.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"sync"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -54,15 +51,9 @@
 	s.stopListening(ctx)
 	ctx, cancel := context.WithTimeout(ctx, max(0, end.Sub(s.clock.Now())).Duration())
 	defer cancel()
-	var group sync.WaitGroup
-	for _, server := range []*http.Server{s.callerServer, s.hopServer} {
-		group.Go(func() {
-			if err := server.Shutdown(ctx); err != nil {
-				s.log.Warn("requests cut off", zap.Int64("active", s.metrics.active.Count()), zap.Error(err))
-			}
-		})
+	if !s.conns.closeUnused(ctx) {
+		s.log.Warn("requests cut off", zap.Int("active", s.conns.cutOff()))
 	}
-	group.Wait()
 	s.Close()
 	s.log.Info("stopped")
 }
@@ -79,9 +70,12 @@
 		if err != nil {
 			s.log.Info("new connections may be reset", zap.String("address", l.Addr().String()), zap.Error(err))
 		}
+		for i, c := range conns {
+			conns[i] = s.conns.track(c, server == s.callerServer)
+		}
 		serveConns(server, l.Addr(), conns)
 	}
-	// The servers must know all connections before they are shut down.
+	// All connections must be known before the unused ones are closed.
 	clock.Sleep(ctx, trackingTime)
 }
 
@@ -112,50 +106,3 @@
 		header["Connection"] = []string{"close"}
 	}
 }
-
-// idleConns closes callers' connections that exceed the idle timeout of the routing table in
-// force.
-type idleConns struct {
-	server *Server
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
-
-func newIdleConns(server *Server) *idleConns {
-	return &idleConns{server: server, timers: make(map[net.Conn]*time.Timer)}
-}
-
-func (i *idleConns) connStateChanged(conn net.Conn, state http.ConnState) {
-	if state == http.StateNew || state == http.StateActive {
-		i.server.lastArrival.Store(int64(i.server.clock.Now()))
-	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if timer := i.timers[conn]; timer != nil {
-		timer.Stop()
-		delete(i.timers, conn)
-	}
-	if state != http.StateIdle {
-		return
-	}
-	if limit := i.idleTimeout(); limit > 0 {
-		i.timers[conn] = time.AfterFunc(limit, func() { i.expire(conn) })
-	}
-}
-
-func (i *idleConns) idleTimeout() time.Duration {
-	if table := i.server.state.table.Load(); table != nil {
-		return table.Bounds.IdleTimeout.Duration()
-	}
-	return 0
-}
-
-func (i *idleConns) expire(conn net.Conn) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.timers[conn] == nil {
-		return
-	}
-	delete(i.timers, conn)
-	_ = conn.Close() // the caller may have closed it already
-}
--- a/gate/front.go
+++ b/gate/front.go
@@ -70,6 +70,7 @@
 	route := table.Match(r.Host, path)
 	if route == nil {
 		s.log.Info("no route", zap.String("host", r.Host), zap.String("path", path), zap.Uint64("version", uint64(table.Version)))
+		s.setConnectionClose(w.Header())
 		writeError(w, http.StatusNotFound, caller.RanNo, caller.ReasonService, "no route for this host and path", "")
 		return
 	}
@@ -195,7 +196,7 @@
 	}
 	// A response sent before the end of the body would be lost when the connection is reset.
 	if _, err := io.CopyN(io.Discard, f.request.Body, maxDiscardBytes); err != nil && !errors.Is(err, io.EOF) {
-		f.finish("left", 0)
+		f.leave(0)
 		return false
 	}
 	f.refuse("no memory for the body", memoryRetryAfter)
