fix(gate): believe the instances' "not run" header only from instances

What callers saw: an endpoint that sends Tanager-Ran: no with its answer, a header that only instances set, made the instance drop the answer of a request that had run and send it to a second endpoint, or answer 503. Cause: the header was accepted from any destination. Evidence: TestOwnHeaderFromEndpoint failed on the code before, at an endpoint of the instance's own region and over a hop: a request of a non-idempotent route reached two endpoints. Change: an endpoint states that it didn't run a request in the platform's form only, an instance in the product's form only. Result: the test passes; the request runs once and its caller gets the answer.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -29,7 +29,7 @@
 	if a.send != nil && parsed.HasLoad {
 		inflight.server.state.withPool(func(p *pool.Pool, now clock.Time) { p.SetReportedLoad(now, a.destination.local.Endpoint, parsed.Load) })
 	}
-	if notRun := parsed.NotRun || response.Header.Get(caller.HeaderRan) == string(caller.RanNo); notRun {
+	if a.statesNotRun(response, parsed) {
 		return a.handleRefusal(response, parsed.Moved)
 	}
 	success := response.StatusCode/100 == 2
@@ -42,6 +42,15 @@
 	return a.relayBuffered(ctx, response)
 }
 
+// statesNotRun reports whether a response states that the request was not run. Each kind of
+// destination is believed only in its own form.
+func (a *attempt) statesNotRun(response *relay.EndpointResponse, parsed ResponseMeta) bool {
+	if a.destination.hop != nil {
+		return response.Header.Get(caller.HeaderRan) == string(caller.RanNo)
+	}
+	return parsed.NotRun
+}
+
 // handleRefusal handles a response which states that the request was not run.
 func (a *attempt) handleRefusal(response *relay.EndpointResponse, moved bool) result {
 	response.Discard()
