fix(relay): reject a response whose head is merged with the rest of another one

What callers saw: an endpoint wrote the start of an earlier refusal, cut off inside a line, before the answer to a request. The next status line became part of that line, and the head was read as a refusal with the id of the request. A request that had run was sent to a second endpoint, or its caller was told that it had not run. Cause: the reading of heads accepts a status line inside a header value or a reason phrase. Change: a head that contains a second status line is malformed, so that the outcome is unknown.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -161,6 +162,9 @@
 		if err != nil {
 			return nil, c.limit.readError("receive", err)
 		}
+		if merged(response) {
+			return nil, fault.Newf("receive", KindMalformed, "the headers of two responses are merged")
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -183,6 +187,37 @@
 	return nil, fault.Newf("receive", KindMalformed, "too many responses to other requests")
 }
 
+// merged reports whether the line of a header contains another status line. The response before it was
+// then cut off inside that line, so that its status or its header fields belong to another request.
+func merged(response *http.Response) bool {
+	if containsStatusLine(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, containsStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+// containsStatusLine reports whether a text contains the start of a status line: the version and
+// a status code.
+func containsStatusLine(text string) bool {
+	for {
+		_, rest, found := strings.Cut(text, "HTTP/1.")
+		if !found {
+			return false
+		}
+		if len(rest) > 4 && isDigit(rest[0]) && rest[1] == ' ' && isDigit(rest[2]) && isDigit(rest[3]) && isDigit(rest[4]) {
+			return true
+		}
+		text = rest
+	}
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
 // skipBody reads the body of a response to another request.
 func (c *conn) skipBody(response *http.Response) error {
 	c.limit.clearLimit()
