fix(gate): resume a stream only with a response that continues it

What callers saw: a stream broke off and the next endpoint answered with status 204, 206 or a body that is no stream (JSON, plain text, no or another content type, an encoding). The text stood in the middle of the caller's stream, or the stream ended as if it were complete. Cause: each signed 2xx response on a streaming route was read as a stream. Change: a resumed stream needs status 200 and the media type and encoding of its beginning; another response counts as malformed. A first response that is no stream is delivered whole.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -36,8 +36,14 @@
 	if success && !parsed.Signed {
 		return a.handleFailure(ctx, fault.Newf("answer", relay.KindMalformed, "success response without a signature"))
 	}
-	if success && inflight.route.Stream {
-		return a.relayStream(ctx, response)
+	if form := formOfStream(response); success && inflight.route.Stream {
+		switch {
+		case inflight.headerSent && form != inflight.streamForm:
+			return a.handleFailure(ctx, fault.Newf("answer", relay.KindMalformed, "response does not continue the stream"))
+		case form.isStream:
+			inflight.streamForm = form
+			return a.relayStream(ctx, response)
+		}
 	}
 	return a.relayBuffered(ctx, response)
 }
--- a/gate/events.go
+++ b/gate/events.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -18,6 +19,8 @@
 	readChunkBytes = 4 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 128 << 10
+	// eventStreamType is the media type of streams.
+	eventStreamType = "text/event-stream"
 )
 
 var (
@@ -25,6 +28,24 @@
 	idPrefix = []byte("id:")
 )
 
+// streamForm is how the body of a response is to be read. A resumed stream must have the form of its
+// beginning.
+type streamForm struct {
+	isStream bool
+	// mediaType is empty if the endpoint doesn't state it.
+	mediaType string
+	encoding  string
+}
+
+func formOfStream(response *relay.EndpointResponse) streamForm {
+	mediaType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	mediaType = strings.ToLower(strings.TrimSpace(mediaType))
+	return streamForm{
+		isStream:  response.StatusCode == http.StatusOK && (mediaType == "" || mediaType == eventStreamType),
+		mediaType: mediaType, encoding: response.Header.Get("Content-Encoding"),
+	}
+}
+
 // relayStream forwards events as they arrive. Only complete events are forwarded, since a partial
 // one would be sent again if the stream is resumed at another endpoint.
 func (a *attempt) relayStream(ctx context.Context, response *relay.EndpointResponse) result {
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -73,6 +73,8 @@
 	excludedHops []string
 	// headerSent reports whether the response header has been sent to the caller.
 	headerSent bool
+	// streamForm is the form of the stream whose header has been sent.
+	streamForm streamForm
 	// firstEventDelay is the time from arrival to the first event sent to the caller, longestPause
 	// the longest time between two events, and lastWrite the time of the last event.
 	firstEventDelay clock.Span
