fix(gate): a stream that ends inside an event has been broken off

What callers saw: an endpoint ended a stream inside an event, in the middle of a stream that ends with its connection or with a proper last chunk. The caller got the partial event and a stream that looked complete. A stream without a length and without any event was complete too. Cause: the bytes after the last event were forwarded at the end of the response, which was then taken for complete. Change: the partial event is dropped; the stream is resumed at another endpoint or aborted. The same holds for one that its connection ended without any event.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -23,6 +23,8 @@
 	cancel      context.CancelCauseFunc
 	timer       *time.Timer
 	ended       bool
+	// forwarded reports whether an event of this send has been forwarded.
+	forwarded bool
 }
 
 // errFirstByteTimeout cancels a send whose endpoint did not respond in time.
--- a/gate/events.go
+++ b/gate/events.go
@@ -64,7 +64,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return a.finishStream(response, pending)
+			return a.finishStream(ctx, response, pending)
 		case err != nil:
 			return a.handleFailure(ctx, err)
 		case len(pending) > maxEventBytes:
@@ -86,6 +86,7 @@
 		inflight.lastEventID = id
 	}
 	a.sendHeader(response)
+	a.forwarded = true
 	if err := inflight.writeEvents(events); err != nil {
 		return err
 	}
@@ -120,18 +121,18 @@
 	inflight.writer.WriteHeader(response.StatusCode)
 }
 
-// finishStream completes a stream that the endpoint has ended.
-func (a *attempt) finishStream(response *relay.EndpointResponse, rest []byte) result {
-	inflight := a.inflight
+// finishStream handles the end of a stream. One that ends inside an event has been broken off. So has
+// one that the end of the connection ended without any event: its end does not tell whether it is whole.
+func (a *attempt) finishStream(ctx context.Context, response *relay.EndpointResponse, rest []byte) result {
+	switch unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0; {
+	case len(rest) > 0:
+		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "stream ends inside an event"))
+	case unframed && !a.forwarded:
+		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "connection ends before the first event"))
+	}
 	a.sendHeader(response)
 	a.recordEnd(pool.Complete)
-	if len(rest) > 0 {
-		if err := inflight.writeEvents(rest); err != nil {
-			inflight.finish("left", http.StatusOK)
-			return resultDone
-		}
-	}
-	inflight.finish("answered", response.StatusCode)
+	a.inflight.finish("answered", response.StatusCode)
 	return resultDone
 }
 
