fix(gate): reset the connection of an HTTP/1.0 caller whose stream is cut off

What callers saw: a caller of HTTP/1.0 gets no chunks; the end of its connection is the end of the response. A stream that was aborted ended with a clean close and looked complete. Cause: an abort closes the connection, which only a chunked response shows to be incomplete. Change: an abort resets the connection of such a caller.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 
+	"go.uber.org/zap"
+
 	"github.com/tanagerbridge/tanagerbridge/caller"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
@@ -211,5 +214,26 @@
 func (f *inflight) abort(reason string) {
 	f.lastOutcome = reason
 	f.finish("broken", 0)
+	f.cutOff()
+}
+
+// cutOff ends the caller's connection before the end of the response. A caller of HTTP/1.0 gets no
+// chunks and takes the end of the connection for the end of the response, so that it needs a reset.
+func (f *inflight) cutOff() {
+	if !f.request.ProtoAtLeast(1, 1) {
+		f.resetConnection()
+	}
 	panic(http.ErrAbortHandler)
 }
+
+func (f *inflight) resetConnection() {
+	conn, _, err := http.NewResponseController(f.writer).Hijack()
+	if err != nil {
+		f.server.log.Warn("resetting the caller's connection failed", zap.Error(err))
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection has ended
+	}
+	_ = conn.Close()
+}
