fix(gate): no response for a caller that has disconnected

What callers saw: a caller that closes its sending side and still reads got a 200 with an empty body, without a signature, while its request was in progress, or a cut stream with its last chunk. Cause: the handler returned without a response when the caller's context had ended; net/http then sends an empty 200, or completes the stream. Change: such a request ends its connection.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -115,8 +115,7 @@
 	f.server.setConnectionClose(header)
 	f.writer.WriteHeader(f.buffered.status)
 	if _, err := f.writer.Write(f.buffered.body); err != nil {
-		f.finish("left", f.buffered.status)
-		return
+		f.leave(f.buffered.status)
 	}
 	f.finish("answered", f.buffered.status)
 }
@@ -210,6 +209,14 @@
 	f.finish("failed", status)
 }
 
+// leave ends the request of a caller that has disconnected. The caller may have closed its sending side
+// only and still read, and a handler that returns ends a response as complete, with an empty success
+// if nothing has been written.
+func (f *inflight) leave(status int) {
+	f.finish("left", status)
+	f.cutOff()
+}
+
 // abort cuts the response off so that the caller cannot take it for complete.
 func (f *inflight) abort(reason string) {
 	f.lastOutcome = reason
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -104,7 +104,7 @@
 	switch cause := context.Cause(ctx); {
 	case inflight.request.Context().Err() != nil:
 		a.recordEnd(pool.Cancelled)
-		inflight.finish("left", 0)
+		inflight.leave(0)
 		return resultDone
 	case cause != nil && !errors.Is(cause, errFirstByteTimeout):
 		a.recordEnd(pool.TimedOut)
--- a/gate/events.go
+++ b/gate/events.go
@@ -58,7 +58,7 @@
 			pending = append(pending, chunk[:n]...)
 			if writeErr := a.forwardEvents(response, &pending); writeErr != nil {
 				a.recordEnd(pool.Cancelled)
-				inflight.finish("left", http.StatusOK)
+				inflight.leave(http.StatusOK)
 				return resultDone
 			}
 		}
--- a/gate/front.go
+++ b/gate/front.go
@@ -195,7 +195,7 @@
 	}
 	// A response sent before the end of the body would be lost when the connection is reset.
 	if _, err := io.CopyN(io.Discard, f.request.Body, maxDiscardBytes); err != nil && !errors.Is(err, io.EOF) {
-		f.finish("left", 0)
+		f.leave(0)
 		return false
 	}
 	f.refuse("no memory for the body", memoryRetryAfter)
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -158,7 +158,7 @@
 		return false
 	}
 	if f.request.Context().Err() != nil {
-		f.finish("left", 0)
+		f.leave(0)
 		return true
 	}
 	f.handleTimeout()
