fix(gate): recognize all line ends of event streams

Cause: only two line feeds ended an event. Evidence: TestResponsesEndedByConnection with a stream of CR LF failed on the code before: the first event did not arrive before the second one was written. Change: an event ends with an empty line, whatever its line ends; the id of the last event is found in the same way. Result: the test passes, TestCompleteEvents and TestLastID too.

--- a/gate/events.go
+++ b/gate/events.go
@@ -23,10 +23,7 @@
 	eventStreamType = "text/event-stream"
 )
 
-var (
-	eventEnd = []byte("\n\n")
-	idPrefix = []byte("id:")
-)
+var idPrefix = []byte("id:")
 
 // streamForm is how the body of a response is to be read. A resumed stream must have the form of its
 // beginning.
@@ -76,11 +73,10 @@
 // forwardEvents writes the complete events among the pending bytes and removes them from pending.
 func (a *attempt) forwardEvents(response *relay.EndpointResponse, pending *[]byte) error {
 	inflight := a.inflight
-	end := bytes.LastIndex(*pending, eventEnd)
-	if end < 0 {
+	end := completeEvents(*pending)
+	if end == 0 {
 		return nil
 	}
-	end += len(eventEnd)
 	events := (*pending)[:end]
 	if id := lastEventID(events); id != "" {
 		inflight.lastEventID = id
@@ -139,7 +135,7 @@
 // lastEventID returns the id of the last event that has one, or "".
 func lastEventID(events []byte) string {
 	for len(events) > 0 {
-		start := bytes.LastIndexByte(events[:len(events)-1], '\n') + 1
+		start := bytes.LastIndexAny(events[:len(events)-1], "\r\n") + 1
 		line := events[start:]
 		if bytes.HasPrefix(line, idPrefix) {
 			return string(bytes.TrimSpace(line[len(idPrefix):]))
@@ -148,3 +144,29 @@
 	}
 	return ""
 }
+
+// completeEvents returns the length of the complete events at the start of a stream's pending bytes. An
+// event ends with an empty line; lines end with LF, CR LF or CR.
+func completeEvents(pending []byte) int {
+	for end := len(pending); end > 0; end-- {
+		line := end // where the last line end before end starts
+		switch {
+		case pending[end-1] == '\n' && end > 1 && pending[end-2] == '\r':
+			line = end - 2
+		case isLineEnd(pending[end-1]):
+			line = end - 1
+		default:
+			continue
+		}
+		if line > 0 && !isLineEnd(pending[line-1]) {
+			continue
+		}
+		if end == len(pending) && pending[end-1] == '\r' && line > 0 && pending[line-1] == '\n' {
+			continue // the first half of CR LF
+		}
+		return end
+	}
+	return 0
+}
+
+func isLineEnd(c byte) bool { return c == '\n' || c == '\r' }
