fix(gate): take no response to a request for one to a health check

What callers saw: an endpoint that wrote an earlier refusal (421 with its own id) once more before its responses to health checks stayed out of use; its callers were refused. Cause: a response that names its endpoint counted as one to a health check, even if it named a request. Evidence: TestStaleRefusalBeforeHealthResponse failed on the code before: no request was served within 10 s. Change: a response with an attempt id is none to a health check. Result: the test passes.

--- a/gate/health.go
+++ b/gate/health.go
@@ -72,11 +72,9 @@
 		zap.Bool("same", check.SameEndpoint), zap.Int64("cold", int64(check.ColdRemaining)))
 }
 
-// matchHealthResponse tells whether a response answers a health check: those name the endpoint, and
-// other ones a request.
+// matchHealthResponse tells whether a response answers a health check, which has no attempt id.
 func (s *Server) matchHealthResponse(header http.Header) relay.Match {
-	meta := s.protocol.ResponseMeta(http.StatusOK, header)
-	if meta.Endpoint == "" && meta.AttemptID != "" {
+	if s.protocol.ResponseMeta(http.StatusOK, header).AttemptID != "" {
 		return relay.MatchOther
 	}
 	return relay.MatchOwn
