--- a/gate/answer.go
+++ b/gate/answer.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 
+	"go.uber.org/zap"
+
 	"github.com/tanagerbridge/tanagerbridge/caller"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
@@ -29,19 +31,34 @@
 	if a.send != nil && parsed.HasLoad {
 		inflight.server.state.withPool(func(p *pool.Pool, now clock.Time) { p.SetReportedLoad(now, a.destination.local.Endpoint, parsed.Load) })
 	}
-	if notRun := parsed.NotRun || response.Header.Get(caller.HeaderRan) == string(caller.RanNo); notRun {
+	if a.statesNotRun(response, parsed) {
 		return a.handleRefusal(response, parsed.Moved)
 	}
 	success := response.StatusCode/100 == 2
 	if success && !parsed.Signed {
 		return a.handleFailure(ctx, fault.Newf("answer", relay.KindMalformed, "success response without a signature"))
 	}
-	if success && inflight.route.Stream {
-		return a.relayStream(ctx, response)
+	if form := formOfStream(response); success && inflight.route.Stream {
+		switch {
+		case inflight.headerSent && form != inflight.streamForm:
+			return a.handleFailure(ctx, fault.Newf("answer", relay.KindMalformed, "response does not continue the stream"))
+		case form.isStream:
+			inflight.streamForm = form
+			return a.relayStream(ctx, response)
+		}
 	}
 	return a.relayBuffered(ctx, response)
 }
 
+// statesNotRun reports whether a response states that the request was not run. Each kind of
+// destination is believed only in its own form.
+func (a *attempt) statesNotRun(response *relay.EndpointResponse, parsed ResponseMeta) bool {
+	if a.destination.hop != nil {
+		return response.Header.Get(caller.HeaderRan) == string(caller.RanNo)
+	}
+	return parsed.NotRun
+}
+
 // handleRefusal handles a response which states that the request was not run.
 func (a *attempt) handleRefusal(response *relay.EndpointResponse, moved bool) result {
 	response.Discard()
@@ -98,7 +115,6 @@
 	f.writer.WriteHeader(f.buffered.status)
 	if _, err := f.writer.Write(f.buffered.body); err != nil {
 		f.leave(f.buffered.status)
-		return
 	}
 	f.finish("answered", f.buffered.status)
 }
@@ -192,16 +208,38 @@
 	f.finish("failed", status)
 }
 
+// leave ends the request of a caller that has disconnected. The caller may have closed its sending side
+// only and still read, and a handler that returns ends a response as complete, with an empty success
+// if nothing has been written.
+func (f *inflight) leave(status int) {
+	f.finish("left", status)
+	f.cutOff()
+}
+
 // abort cuts the response off so that the caller cannot take it for complete.
 func (f *inflight) abort(reason string) {
 	f.lastOutcome = reason
 	f.finish("broken", 0)
-	panic(http.ErrAbortHandler)
+	f.cutOff()
 }
 
-// leave ends a request whose caller has disconnected. A caller that is there nevertheless must not take a
-// response that has not been written for a complete one.
-func (f *inflight) leave(status int) {
-	f.finish("left", status)
+// cutOff ends the caller's connection before the end of the response. A caller of HTTP/1.0 gets no
+// chunks and takes the end of the connection for the end of the response, so that it needs a reset.
+func (f *inflight) cutOff() {
+	if !f.request.ProtoAtLeast(1, 1) {
+		f.resetConnection()
+	}
 	panic(http.ErrAbortHandler)
 }
+
+func (f *inflight) resetConnection() {
+	conn, _, err := http.NewResponseController(f.writer).Hijack()
+	if err != nil {
+		f.server.log.Warn("resetting the caller's connection failed", zap.Error(err))
+		return
+	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection has ended
+	}
+	_ = conn.Close()
+}
--- a/gate/events.go
+++ b/gate/events.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -18,12 +19,29 @@
 	readChunkBytes = 4 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 128 << 10
+	// eventStreamType is the media type of streams.
+	eventStreamType = "text/event-stream"
 )
 
-var (
-	eventEnd = []byte("\n\n")
-	idPrefix = []byte("id:")
-)
+var idPrefix = []byte("id:")
+
+// streamForm is how the body of a response is to be read. A resumed stream must have the form of its
+// beginning.
+type streamForm struct {
+	isStream bool
+	// mediaType is empty if the endpoint doesn't state it.
+	mediaType string
+	encoding  string
+}
+
+func formOfStream(response *relay.EndpointResponse) streamForm {
+	mediaType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	mediaType = strings.ToLower(strings.TrimSpace(mediaType))
+	return streamForm{
+		isStream:  response.StatusCode == http.StatusOK && (mediaType == "" || mediaType == eventStreamType),
+		mediaType: mediaType, encoding: response.Header.Get("Content-Encoding"),
+	}
+}
 
 // relayStream forwards events as they arrive. Only complete events are forwarded, since a partial
 // one would be sent again if the stream is resumed at another endpoint.
@@ -43,7 +61,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return a.finishStream(response, pending)
+			return a.finishStream(ctx, response, pending)
 		case err != nil:
 			return a.handleFailure(ctx, err)
 		case len(pending) > maxEventBytes:
@@ -55,16 +73,16 @@
 // forwardEvents writes the complete events among the pending bytes and removes them from pending.
 func (a *attempt) forwardEvents(response *relay.EndpointResponse, pending *[]byte) error {
 	inflight := a.inflight
-	end := bytes.LastIndex(*pending, eventEnd)
-	if end < 0 {
+	end := completeEvents(*pending)
+	if end == 0 {
 		return nil
 	}
-	end += len(eventEnd)
 	events := (*pending)[:end]
 	if id := lastEventID(events); id != "" {
 		inflight.lastEventID = id
 	}
 	a.sendHeader(response)
+	a.forwarded = true
 	if err := inflight.writeEvents(events); err != nil {
 		return err
 	}
@@ -99,25 +117,25 @@
 	inflight.writer.WriteHeader(response.StatusCode)
 }
 
-// finishStream completes a stream that the endpoint has ended.
-func (a *attempt) finishStream(response *relay.EndpointResponse, rest []byte) result {
-	inflight := a.inflight
+// finishStream handles the end of a stream. One that ends inside an event has been broken off. So has
+// one that the end of the connection ended without any event: its end does not tell whether it is whole.
+func (a *attempt) finishStream(ctx context.Context, response *relay.EndpointResponse, rest []byte) result {
+	switch unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0; {
+	case len(rest) > 0:
+		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "stream ends inside an event"))
+	case unframed && !a.forwarded:
+		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "connection ends before the first event"))
+	}
 	a.sendHeader(response)
 	a.recordEnd(pool.Complete)
-	if len(rest) > 0 {
-		if err := inflight.writeEvents(rest); err != nil {
-			inflight.leave(http.StatusOK)
-			return resultDone
-		}
-	}
-	inflight.finish("answered", response.StatusCode)
+	a.inflight.finish("answered", response.StatusCode)
 	return resultDone
 }
 
 // lastEventID returns the id of the last event that has one, or "".
 func lastEventID(events []byte) string {
 	for len(events) > 0 {
-		start := bytes.LastIndexByte(events[:len(events)-1], '\n') + 1
+		start := bytes.LastIndexAny(events[:len(events)-1], "\r\n") + 1
 		line := events[start:]
 		if bytes.HasPrefix(line, idPrefix) {
 			return string(bytes.TrimSpace(line[len(idPrefix):]))
@@ -126,3 +144,29 @@
 	}
 	return ""
 }
+
+// completeEvents returns the length of the complete events at the start of a stream's pending bytes. An
+// event ends with an empty line; lines end with LF, CR LF or CR.
+func completeEvents(pending []byte) int {
+	for end := len(pending); end > 0; end-- {
+		line := end // where the last line end before end starts
+		switch {
+		case pending[end-1] == '\n' && end > 1 && pending[end-2] == '\r':
+			line = end - 2
+		case isLineEnd(pending[end-1]):
+			line = end - 1
+		default:
+			continue
+		}
+		if line > 0 && !isLineEnd(pending[line-1]) {
+			continue
+		}
+		if end == len(pending) && pending[end-1] == '\r' && line > 0 && pending[line-1] == '\n' {
+			continue // the first half of CR LF
+		}
+		return end
+	}
+	return 0
+}
+
+func isLineEnd(c byte) bool { return c == '\n' || c == '\r' }
