test(proof): read the log of an entry to its end

Cause: the reader of the log ends at the first line of more than 64 KiB and does not say so; later lines, such as the end of the process, are lost. A failure prints 20 lines, which the stacks after a fatal error of the runtime exceed. Change: lines of any length are read until the end of the pipe, and a read error is added to the log. The description of a process prints up to 1000 lines.

--- a/proof/scene_test.go
+++ b/proof/scene_test.go
@@ -158,20 +158,30 @@
 	}
 }
 
-// readLog collects the log of a process and sends its addresses to started.
+// readLog collects the log of a process and sends its addresses to started. It reads lines of
+// any length until the process closes its end, since a process blocks when nobody reads its log.
 func (p *process) readLog(out io.Reader, started chan<- stage.Addresses) {
-	lines := bufio.NewScanner(out)
-	for lines.Scan() {
-		p.logs.add(lines.Text())
+	lines := bufio.NewReader(out)
+	for {
+		text, err := lines.ReadString('\n')
+		if text != "" {
+			p.logs.add(strings.TrimSuffix(text, "\n"))
+		}
 		var line struct {
 			Msg    string `json:"msg"`
 			Listen string `json:"listen"`
 			Admin  string `json:"admin"`
 			Peer   string `json:"peer"`
 		}
-		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "started" {
+		if json.Unmarshal([]byte(text), &line) == nil && line.Msg == "started" {
 			started <- stage.Addresses{Caller: line.Listen, Admin: line.Admin, Peer: line.Peer}
 		}
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				p.logs.add("the log could not be read further: " + err.Error())
+			}
+			break
+		}
 	}
 	_ = p.cmd.Wait()
 	close(p.exited)
@@ -193,10 +203,13 @@
 }
 
 // String returns the last 20 lines.
-func (b *logBuffer) String() string {
+func (b *logBuffer) String() string { return b.last(20) }
+
+// last returns at most the given number of lines from the end.
+func (b *logBuffer) last(count int) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return strings.Join(b.lines[max(0, len(b.lines)-20):], "\n")
+	return strings.Join(b.lines[max(0, len(b.lines)-count):], "\n")
 }
 
 // eventually polls check until it returns nil. After waitLimit it returns the last error.
@@ -234,8 +247,10 @@
 	})
 }
 
-// describe returns the kernel's state of the process, or how it ended, and its log.
+// describe returns the kernel's state of the process, or how it ended, and its log with room for the stacks of
+// all goroutines.
 func (p *process) describe() string {
+	const logLines = 1000
 	var state string
 	select {
 	case <-p.exited:
@@ -247,7 +262,7 @@
 			state = err.Error()
 		}
 	}
-	return fmt.Sprintf("%s: state %s; log: %s", p.name, state, p.logs)
+	return fmt.Sprintf("%s: state %s; log: %s", p.name, state, p.logs.last(logLines))
 }
 
 // awaitVersion waits until a bundle version is in force at an entry.
