refactor(clock): one exponential backoff instead of five

Cause: gate, store, watch, assign and caller each doubled a wait between two bounds with code of their own; store and watch had the same jitter twice. Change: clock.Backoff keeps the count of failures, clock.Doubled computes the wait, clock.Jitter spreads it. The waits and the ranges of the jitter stay as they were; what differs between the packages (the jitter of gate, of retries in watch and of caller) stays there.

--- a/assign/engine.go
+++ b/assign/engine.go
@@ -95,7 +95,9 @@
 func (e *engine) resetDelays() { e.orderAfter, e.turnStartedAt = 0, 0 }
 
 // nextBackoff returns the delay after the orders without effect so far.
-func (e *engine) nextBackoff() clock.Span { return min(maxBackoff, initialBackoff<<e.failures) }
+func (e *engine) nextBackoff() clock.Span {
+	return clock.Doubled(initialBackoff, maxBackoff, e.failures)
+}
 
 // takeTurn records that the engine is among those that may load next. Its turn passes if it
 // does not start within turnTimeout.
--- a/caller/client.go
+++ b/caller/client.go
@@ -159,7 +159,7 @@
 // with jitter, but at least for the delay requested by the entry.
 func (c *Client) pause(ctx context.Context, attempt ident.Attempt, after clock.Span) error {
 	const maxDoublings = 6
-	wait := c.config.Backoff << min(int(attempt)-1, maxDoublings)
+	wait := clock.Doubled(c.config.Backoff, c.config.Backoff<<maxDoublings, int(attempt)-1)
 	c.lock.Lock()
 	wait = wait/2 + clock.Span(c.random.Int64N(int64(wait)+1))
 	c.lock.Unlock()
--- a/gate/follow.go
+++ b/gate/follow.go
@@ -20,15 +20,12 @@
 	maxStartupRetry = 500 * clock.Millisecond
 )
 
-// backoff is the wait before the next attempt; it doubles with each one.
-type backoff struct {
-	next clock.Span
+func newStartupBackoff() clock.Backoff {
+	return clock.Backoff{First: startupRetry, Last: maxStartupRetry}
 }
 
-// nextSpan returns the next wait, which is random around the current one.
-func (b *backoff) nextSpan() clock.Span {
-	span := max(startupRetry, b.next)
-	b.next = min(maxStartupRetry, 2*span)
+// randomAround returns a random span from half to one and a half of the given one.
+func randomAround(span clock.Span) clock.Span {
 	return span/2 + clock.Span(rand.Int64N(int64(span)))
 }
 
@@ -57,7 +54,7 @@
 // followList keeps the list of endpoints up to date: by reading the store, or by querying an
 // instance that does, which also tells changes of the configuration.
 func (s *Server) followList(ctx context.Context, follower *store.Follower) {
-	var retry backoff
+	retry := newStartupBackoff()
 	for ctx.Err() == nil {
 		switch {
 		case !s.state.listed.Load():
@@ -74,14 +71,14 @@
 }
 
 // fetchFirstList gets the list from another instance, if there is one, or from the store.
-func (s *Server) fetchFirstList(ctx context.Context, follower *store.Follower, retry *backoff) {
+func (s *Server) fetchFirstList(ctx context.Context, follower *store.Follower, retry *clock.Backoff) {
 	peers := s.regionPeers()
 	switch {
 	case len(peers) > 0 && s.syncFrom(ctx, peers[s.randomUint64()%uint64(len(peers))], s.freshLimits()):
 	case s.mayReadFirst(peers):
 		follower.Step(ctx)
 	case len(peers) > 0:
-		clock.Sleep(ctx, retry.nextSpan())
+		clock.Sleep(ctx, randomAround(retry.Next()))
 	default:
 		clock.Sleep(ctx, startupRetry)
 	}
--- a/gate/server.go
+++ b/gate/server.go
@@ -241,11 +241,11 @@
 // not answer, it queries the other instances.
 func (s *Server) awaitReady(ctx context.Context) {
 	queryAt := s.clock.Now().Add(storeGrace)
-	var retry backoff
+	retry := newStartupBackoff()
 	for ctx.Err() == nil && !s.state.ready() {
 		if now := s.clock.Now(); !now.Before(queryAt) {
 			s.syncWithAny(ctx)
-			queryAt = now.Add(retry.nextSpan())
+			queryAt = now.Add(randomAround(retry.Next()))
 		}
 		clock.Sleep(ctx, startupPollInterval)
 	}
--- a/store/follow.go
+++ b/store/follow.go
@@ -40,7 +40,7 @@
 // Follower tracks the content under one prefix. It is not safe for concurrent use.
 type Follower struct {
 	config  Config
-	backoff clock.Span
+	backoff clock.Backoff
 	failing bool
 	// revision is the revision from which to watch; 0 if the prefix has to be read.
 	revision Revision
@@ -51,7 +51,9 @@
 }
 
 // NewFollower returns a Follower that has not read anything yet.
-func NewFollower(config Config) *Follower { return &Follower{config: config} }
+func NewFollower(config Config) *Follower {
+	return &Follower{config: config, backoff: clock.Backoff{First: firstBackoff, Last: lastBackoff}}
+}
 
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -155,7 +157,8 @@
 		if f.failing {
 			f.config.OnResult(nil)
 		}
-		f.failing, f.backoff = false, 0
+		f.failing = false
+		f.backoff.Reset()
 		return true
 	}
 	if fault.KindOf[Kind](err) == KindCompacted {
@@ -165,10 +168,7 @@
 	}
 	f.failing = true
 	f.config.OnResult(err)
-	f.backoff = min(lastBackoff, max(firstBackoff, 2*f.backoff))
-	clock.Sleep(ctx, jitter(f.backoff))
+	// The jitter keeps many instances from calling the store at the same time.
+	clock.Sleep(ctx, clock.Jitter(f.backoff.Next(), rand.Int64N))
 	return false
 }
-
-// jitter randomises a wait so that many instances do not call the store at the same time.
-func jitter(span clock.Span) clock.Span { return span*3/4 + clock.Span(rand.Int64N(int64(span)/2+1)) }
--- a/watch/fetch.go
+++ b/watch/fetch.go
@@ -117,26 +117,24 @@
 
 // backoff computes jittered delays, so that many entries don't call at the same time.
 type backoff struct {
-	random   *rand.Rand
-	failures int
+	clock.Backoff
+
+	random *rand.Rand
 }
 
 func newBackoff(seed uint64) *backoff {
-	return &backoff{random: rand.New(rand.NewPCG(seed, 0x7461_6e61))} //nolint:gosec // jitter is no secret
+	return &backoff{
+		Backoff: clock.Backoff{First: initialRetryDelay, Last: maxRetryDelay},
+		random:  rand.New(rand.NewPCG(seed, 0x7461_6e61)), //nolint:gosec // jitter is no secret
+	}
 }
 
-// jitter returns a random span from 3/4 to 5/4 of the given one.
-func (b *backoff) jitter(span clock.Span) clock.Span {
-	return span*3/4 + clock.Span(b.random.Int64N(int64(span/2)+1))
-}
+func (b *backoff) jitter(span clock.Span) clock.Span { return clock.Jitter(span, b.random.Int64N) }
 
 // nextDelay returns the delay after a failed call: minDelay, as requested by the
 // platform, plus a backoff that doubles with each consecutive failure.
 func (b *backoff) nextDelay(minDelay clock.Span) clock.Span {
-	wait := min(initialRetryDelay<<min(b.failures, 16), maxRetryDelay)
-	b.failures++
+	wait := b.Next()
 	// Half of the backoff is random, so that entries that failed together retry apart.
 	return max(minDelay, 0) + wait/2 + clock.Span(b.random.Int64N(int64(wait/2)+1))
 }
-
-func (b *backoff) reset() { b.failures = 0 }
--- a/watch/list.go
+++ b/watch/list.go
@@ -67,7 +67,7 @@
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
-			l.backoff.reset()
+			l.backoff.Reset()
 			clock.Sleep(ctx, l.backoff.jitter(l.interval()))
 		case fault.KindOf[Kind](err) == KindConfig:
 			return err
--- a/watch/values.go
+++ b/watch/values.go
@@ -85,7 +85,7 @@
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
-			v.backoff.reset()
+			v.backoff.Reset()
 			v.awaitNext(ctx, isWatcher)
 		case fault.KindOf[Kind](err) == KindConfig:
 			return err
