refactor(fakes,stage): use cmp.Or for defaults

Cause: fakes and stage each had a function orDefault that does what cmp.Or of the standard library does. Change: cmp.Or replaces both.

--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"cmp"
 	"net/http"
 	"sync"
 	"time"
@@ -46,27 +47,18 @@
 }
 
 func (c EngineConfig) withDefaults() EngineConfig {
-	c.Slots = orDefault(c.Slots, 8)
-	c.PrefillPerToken = orDefault(c.PrefillPerToken, 250*time.Microsecond)
-	c.TokenInterval = orDefault(c.TokenInterval, 20*time.Millisecond)
-	c.CacheBlocks = orDefault(c.CacheBlocks, 4096)
-	c.BlockTokens = orDefault(c.BlockTokens, 16)
-	c.StreamRetention = orDefault(c.StreamRetention, 2*clock.Second)
+	c.Slots = cmp.Or(c.Slots, 8)
+	c.PrefillPerToken = cmp.Or(c.PrefillPerToken, 250*time.Microsecond)
+	c.TokenInterval = cmp.Or(c.TokenInterval, 20*time.Millisecond)
+	c.CacheBlocks = cmp.Or(c.CacheBlocks, 4096)
+	c.BlockTokens = cmp.Or(c.BlockTokens, 16)
+	c.StreamRetention = cmp.Or(c.StreamRetention, 2*clock.Second)
 	if c.Clock == nil {
 		c.Clock = clock.NewSystem()
 	}
 	return c
 }
 
-// orDefault returns v, or fallback if v is the zero value.
-func orDefault[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
-
 // Engine is a double of a model engine with continuous batching, a prefix cache
 // and resumable streams. It is safe for concurrent use.
 type Engine struct {
--- a/fakes/enginehttp.go
+++ b/fakes/enginehttp.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -129,7 +130,7 @@
 }
 
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.Atoi(orDefault(r.Header.Get(headerResume), "0"))
+	after, err := strconv.Atoi(cmp.Or(r.Header.Get(headerResume), "0"))
 	p := e.currentProcess()
 	if err != nil || p == nil {
 		writeError(w, http.StatusBadRequest, "malformed Last-Event-ID or engine not running")
--- a/fakes/link.go
+++ b/fakes/link.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -63,7 +64,7 @@
 // Start starts the link. It returns a KindListen error if it can't listen.
 func (l *Link) Start() error {
 	var lc net.ListenConfig
-	listener, err := lc.Listen(context.Background(), "tcp", orDefault(l.cfg.Listen, loopbackAddress))
+	listener, err := lc.Listen(context.Background(), "tcp", cmp.Or(l.cfg.Listen, loopbackAddress))
 	if err != nil {
 		return fault.Wrap("listen", KindListen, err)
 	}
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"sync"
@@ -56,7 +57,7 @@
 
 // NewPlatform returns a Platform that is not started.
 func NewPlatform(cfg PlatformConfig) *Platform {
-	cfg.RateLimit = orDefault(cfg.RateLimit, 2000)
+	cfg.RateLimit = cmp.Or(cfg.RateLimit, 2000)
 	return &Platform{cfg: cfg, values: newValueStore(cfg.RateLimit), listLag: cfg.ListLag.Duration()}
 }
 
--- a/fakes/service.go
+++ b/fakes/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -118,7 +119,7 @@
 
 // NewService returns a Service that is not started.
 func NewService(cfg ServiceConfig) *Service {
-	cfg.Slots = orDefault(cfg.Slots, 16)
+	cfg.Slots = cmp.Or(cfg.Slots, 16)
 	if cfg.Clock == nil {
 		cfg.Clock = clock.NewSystem()
 	}
--- a/fakes/values.go
+++ b/fakes/values.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -135,8 +136,8 @@
 		return
 	}
 	query := r.URL.Query()
-	after, err := strconv.Atoi(orDefault(query.Get("after"), "0"))
-	wait, waitErr := strconv.Atoi(orDefault(query.Get("wait"), "0"))
+	after, err := strconv.Atoi(cmp.Or(query.Get("after"), "0"))
+	wait, waitErr := strconv.Atoi(cmp.Or(query.Get("wait"), "0"))
 	if err != nil || waitErr != nil {
 		writeError(w, http.StatusBadRequest, "malformed query: after and wait must be integers")
 		return
--- a/stage/config.go
+++ b/stage/config.go
@@ -4,6 +4,7 @@
 package stage
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -106,17 +107,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Deployment = orDefault(c.Deployment, Kgosi)
-	c.Entries = orDefault(c.Entries, 4)
-	c.Seed = orDefault(c.Seed, 1)
-	c.Policy = orDefault(c.Policy, "tanager")
-	c.Speedup = orDefault(c.Speedup, 1)
-	c.Slots = orDefault(c.Slots, 8)
-	c.TokenInterval = orDefault(c.TokenInterval, 30*time.Millisecond)
-	c.PrefillPerToken = orDefault(c.PrefillPerToken, 250*time.Microsecond)
-	c.ReportLag = orDefault(c.ReportLag, clock.Second)
-	c.ListLag = orDefault(c.ListLag, 30*clock.Second)
-	c.RestartDelay = orDefault(c.RestartDelay, clock.Second)
+	c.Deployment = cmp.Or(c.Deployment, Kgosi)
+	c.Entries = cmp.Or(c.Entries, 4)
+	c.Seed = cmp.Or(c.Seed, 1)
+	c.Policy = cmp.Or(c.Policy, "tanager")
+	c.Speedup = cmp.Or(c.Speedup, 1)
+	c.Slots = cmp.Or(c.Slots, 8)
+	c.TokenInterval = cmp.Or(c.TokenInterval, 30*time.Millisecond)
+	c.PrefillPerToken = cmp.Or(c.PrefillPerToken, 250*time.Microsecond)
+	c.ReportLag = cmp.Or(c.ReportLag, clock.Second)
+	c.ListLag = cmp.Or(c.ListLag, 30*clock.Second)
+	c.RestartDelay = cmp.Or(c.RestartDelay, clock.Second)
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
@@ -126,15 +127,6 @@
 	return c
 }
 
-// orDefault returns v, or fallback if v is the zero value.
-func orDefault[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
-
 // compress divides a simulated time by Speedup.
 func (c *Config) compress(d time.Duration) time.Duration {
 	return time.Duration(float64(d) / c.Speedup)
