test(proof): print why an order was refused

Seen: TestScripts/oneway failed once under the race detector beside two other runs of all scripts and three busy loops: "order o1 at b1: result not-run" where the script wants done. Cause: not traced; the message does not name the reason of the refusal. Change: the message ends with the reason and the text of the last refusal of the order.

--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -269,7 +269,7 @@
 	}
 	got := env.sendOrder(args[0], args[1])
 	if !slices.Contains(strings.Split(args[2], "|"), got) {
-		return errors.Errorf("order %s at %s: result %s", args[0], args[1], got)
+		return errors.Errorf("order %s at %s: result %s: %s", args[0], args[1], got, env.lastRefusal(args[0]))
 	}
 	return nil
 }
--- a/proof/scene_test.go
+++ b/proof/scene_test.go
@@ -81,7 +81,9 @@
 	ticket string
 	// notRun, done and unknown are the results that callers have received.
 	notRun, done, unknown bool
-	sent                  chan struct{}
+	// refusal is the last refusal, for failure messages.
+	refusal caller.Refusal
+	sent    chan struct{}
 }
 
 // receivedAnswer is an answer that a caller received as complete.
@@ -335,6 +337,7 @@
 	code, refusal, err := c.sendRequest(name, http.MethodPost, caller.PathCall+string(c.deployment.PlainService())+"/orders", pending.ticket, `{"order":"`+id+`"}`)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	pending.refusal = refusal
 	switch {
 	case err != nil:
 		return "broken"
@@ -352,6 +355,13 @@
 	}
 }
 
+// lastRefusal returns the reason and the text of the last refusal of an order.
+func (c *cluster) lastRefusal(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("%s, %s", c.orders[id].refusal.Reason, c.orders[id].refusal.Message)
+}
+
 // checkGuarantees returns an error for the first violation of the guarantees about orders
 // and answers.
 func (c *cluster) checkGuarantees() error {
