--- a/entry/complete.go
+++ b/entry/complete.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/tanagerbridge/tanagerbridge/caller"
+	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/core"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/logs"
@@ -135,3 +136,5 @@
 		t.abort(x.server)
 	}
 }
+
+func bodyLimit(c *core.Core, _ clock.Time) ident.Bytes { return c.BodyLimit() }
--- a/entry/server.go
+++ b/entry/server.go
@@ -171,6 +171,23 @@
 	s.spawn(func() { s.pollEndpoints(ctx) })
 }
 
+// tickPeriod is how often the core checks deadlines.
+const tickPeriod = 50 * clock.Millisecond
+
+func (s *Server) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod.Duration())
+	defer ticker.Stop()
+	for {
+		s.shell.apply(core.Tick{})
+		s.shell.apply(core.MembersUpdated{Live: s.node.Live(), Ready: s.node.Ready()})
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 func (s *Server) spawn(task func()) { s.tasks.Go(task) }
 
 // Address returns the host:port for callers.
