--- a/fakes/enginehttp.go
+++ b/fakes/enginehttp.go
@@ -181,18 +181,26 @@
 		if end {
 			return
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		if !awaitChange(ctx, p, j, changed) {
 			return
-		case <-j.cancelled:
-			panic(http.ErrAbortHandler)
-		case <-p.done:
-			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
+// awaitChange waits for a change of the job. It returns false if ctx ends first, and aborts the connection if the
+// job is cancelled or the process ends.
+func awaitChange(ctx context.Context, p *process, j *job, changed <-chan struct{}) bool {
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-j.cancelled:
+	case <-p.done:
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // answerWhole sends the complete answer of a job in a single response.
 func (e *Engine) answerWhole(ctx context.Context, w http.ResponseWriter, p *process, j *job) {
 	j.attach()
@@ -203,14 +211,8 @@
 		if done {
 			break
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		if !awaitChange(ctx, p, j, changed) {
 			return
-		case <-j.cancelled:
-			panic(http.ErrAbortHandler)
-		case <-p.done:
-			panic(http.ErrAbortHandler)
 		}
 	}
 	var text strings.Builder
