refactor(wire): write a frame in one place

Cause: both ends of a connection set the deadline, wrote and wrapped the error with the same lines. Change: writeFrame does it. The lock stays with the callers: a client closes the connection before another write can follow a partial one. Result: tests of wire pass.

--- a/wire/frame.go
+++ b/wire/frame.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"net"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -50,6 +52,15 @@
 	return "answer"
 }
 
+// writeFrame writes a complete frame within frameTimeout. The caller holds the lock for writes.
+func writeFrame(conn net.Conn, frame []byte) error {
+	_ = conn.SetWriteDeadline(time.Now().Add(frameTimeout))
+	if _, err := conn.Write(frame); err != nil {
+		return fault.Wrap("write", KindClosed, err)
+	}
+	return nil
+}
+
 // encode returns a complete frame, including the length prefix.
 func encode(kind string, id uint64, body any) ([]byte, error) {
 	raw, err := msgpack.Marshal(body)
--- a/wire/link.go
+++ b/wire/link.go
@@ -209,9 +209,7 @@
 	}
 	c.write.Lock()
 	defer c.write.Unlock()
-	_ = c.conn.SetWriteDeadline(time.Now().Add(frameTimeout))
-	if _, err := c.conn.Write(frame); err != nil {
-		err = fault.Wrap("write", KindClosed, err)
+	if err := writeFrame(c.conn, frame); err != nil {
 		c.close(err)
 		return err
 	}
--- a/wire/server.go
+++ b/wire/server.go
@@ -287,9 +287,5 @@
 	}
 	c.write.Lock()
 	defer c.write.Unlock()
-	_ = c.conn.SetWriteDeadline(time.Now().Add(frameTimeout))
-	if _, err := c.conn.Write(frame); err != nil {
-		return fault.Wrap("write", KindClosed, err)
-	}
-	return nil
+	return writeFrame(c.conn, frame)
 }
