--- a/gate/server.go
+++ b/gate/server.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -269,10 +270,7 @@
 func (s *Server) countPanic() { s.metrics.panics.Inc(1) }
 
 func boundOrDefault(bound clock.Span) clock.Span {
-	if bound == 0 {
-		return defaultPropagationBound
-	}
-	return bound
+	return cmp.Or(bound, defaultPropagationBound)
 }
 
 // runEvery calls fn at a fixed interval until ctx ends.
--- a/member/table.go
+++ b/member/table.go
@@ -3,6 +3,7 @@
 package member
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -106,11 +107,11 @@
 
 // New returns a Table that contains only its own process.
 func New(config Config) *Table {
-	config.Period = orDefault(config.Period, DefaultPeriod)
-	config.Timeout = orDefault(config.Timeout, DefaultTimeout)
-	config.Suspicion = orDefault(config.Suspicion, DefaultSuspicion)
-	config.PauseThreshold = orDefault(config.PauseThreshold, DefaultPauseThreshold)
-	config.AloneTimeout = orDefault(config.AloneTimeout, DefaultAloneTimeout)
+	config.Period = cmp.Or(config.Period, DefaultPeriod)
+	config.Timeout = cmp.Or(config.Timeout, DefaultTimeout)
+	config.Suspicion = cmp.Or(config.Suspicion, DefaultSuspicion)
+	config.PauseThreshold = cmp.Or(config.PauseThreshold, DefaultPauseThreshold)
+	config.AloneTimeout = cmp.Or(config.AloneTimeout, DefaultAloneTimeout)
 	table := &Table{
 		config:     config,
 		self:       config.Self,
@@ -127,13 +128,6 @@
 	return table
 }
 
-func orDefault(value, fallback clock.Span) clock.Span {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // Self returns the process's own record.
 func (t *Table) Self() gossip.Member { return t.self }
 
