test(core): offer bundles of one key in one place

Cause: two tests had the same lines for a bundle and its successors. Change: newActive holds them; the assertions are the same.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -50,6 +50,21 @@
 	return signed.Encode(), []bundle.PublicKey{public}, private
 }
 
+// newActive returns a bundle that is in force and a function that offers its successors, signed with the same key.
+func newActive(t require.TestingT, text string) (*bundle.Active, func(text string)) {
+	public, private, err := bundle.GenerateKey("k1")
+	require.NoError(t, err)
+	active := bundle.NewActive([]bundle.PublicKey{public})
+	offer := func(text string) {
+		signed, err := bundle.Sign(private, []byte(text))
+		require.NoError(t, err)
+		_, err = active.Offer(signed.Encode())
+		require.NoError(t, err)
+	}
+	offer(text)
+	return active, offer
+}
+
 // testEntry is a core with its clock and two endpoints of each service in its region.
 type testEntry struct {
 	*core.Core
--- a/core/order_test.go
+++ b/core/order_test.go
@@ -7,7 +7,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerbridge/tanagerbridge/assign"
-	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/core"
 	"github.com/tanagerbridge/tanagerbridge/fleet"
@@ -81,16 +80,7 @@
 		{"newer bundle", func(_ *testEntry, offer func()) { offer() }, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			public, private, err := bundle.GenerateKey("k1")
-			require.NoError(t, err)
-			active := bundle.NewActive([]bundle.PublicKey{public})
-			offer := func(text string) {
-				signed, err := bundle.Sign(private, []byte(text))
-				require.NoError(t, err)
-				_, err = active.Offer(signed.Encode())
-				require.NoError(t, err)
-			}
-			offer(document)
+			active, offer := newActive(t, document)
 			entry := newTestEntryWith(t, active)
 			var orders []core.Order
 			for len(orders) == 0 && entry.now < 20_000 {
--- a/core/resend_test.go
+++ b/core/resend_test.go
@@ -113,16 +113,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			for _, waits := range []bool{false, true} {
-				public, private, err := bundle.GenerateKey("k1")
-				require.NoError(t, err)
-				active := bundle.NewActive([]bundle.PublicKey{public})
-				offer := func(text string) {
-					signed, err := bundle.Sign(private, []byte(text))
-					require.NoError(t, err)
-					_, err = active.Offer(signed.Encode())
-					require.NoError(t, err)
-				}
-				offer(documentWithKey)
+				active, offer := newActive(t, documentWithKey)
 				entry := newTestEntryWith(t, active)
 				dispatch := onlyAction[core.Dispatch](t, entry.Apply(entry.now, entry.newOrder(t)))
 				next := tc.change(strings.Replace(documentWithKey, `"version": 1`, `"version": 2`, 1))
