refactor(member,peer): one factor for the time-out of a probe

Cause: peer had a constant of its own that had to equal that of member. Change: peer uses member.ProbeTimeoutFactor.

--- a/member/probe.go
+++ b/member/probe.go
@@ -19,9 +19,9 @@
 const (
 	// maxRelays is how many members are asked to probe a target that did not answer.
 	maxRelays = 3
-	// probeTimeoutFactor times the timeout bounds a probe, relays included. A relay across
+	// ProbeTimeoutFactor times the timeout bounds a probe, relays included. A relay across
 	// regions may need a new connection on both legs: twice three round trips of 100 ms.
-	probeTimeoutFactor = 3
+	ProbeTimeoutFactor = 3
 	// joinProbes is how many targets are probed per period until the process is ready.
 	joinProbes = 8
 )
@@ -93,7 +93,7 @@
 	kept := t.probes[:0]
 	for _, p := range t.probes {
 		waited := t.activeTime.Sub(p.sentAt)
-		if waited >= probeTimeoutFactor*t.config.Timeout {
+		if waited >= ProbeTimeoutFactor*t.config.Timeout {
 			t.probeFailed(p.target)
 			continue
 		}
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -13,10 +13,6 @@
 	"github.com/tanagerbridge/tanagerbridge/wire"
 )
 
-// probeTimeoutFactor times the probe timeout bounds a probe, relays included. It equals the
-// factor of package member.
-const probeTimeoutFactor = 3
-
 func (n *Node) probeLoop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -38,7 +34,7 @@
 
 // withProbeTimeout returns a context that bounds one probe.
 func (n *Node) withProbeTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, (probeTimeoutFactor * n.config.Timeout).Duration())
+	return context.WithTimeout(ctx, (member.ProbeTimeoutFactor * n.config.Timeout).Duration())
 }
 
 func (n *Node) sendProbe(ctx context.Context, probe member.ProbeRequest) {
