--- a/gate/server.go
+++ b/gate/server.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -246,11 +247,11 @@
 // not answer, it queries the other instances.
 func (s *Server) awaitReady(ctx context.Context) {
 	queryAt := s.clock.Now().Add(storeGrace)
-	var retry backoff
+	retry := newStartupBackoff()
 	for ctx.Err() == nil && !s.state.ready() {
 		if now := s.clock.Now(); !now.Before(queryAt) {
 			s.syncWithAny(ctx)
-			queryAt = now.Add(retry.nextSpan())
+			queryAt = now.Add(randomAround(retry.Next()))
 		}
 		clock.Sleep(ctx, startupPollInterval)
 	}
@@ -274,10 +275,7 @@
 func (s *Server) countPanic() { s.metrics.panics.Inc(1) }
 
 func boundOrDefault(bound clock.Span) clock.Span {
-	if bound == 0 {
-		return defaultPropagationBound
-	}
-	return bound
+	return cmp.Or(bound, defaultPropagationBound)
 }
 
 // runEvery calls fn at a fixed interval until ctx ends.
