fix(gate): no bytes of another response inside a stream

What callers saw: in a stream that ends with its connection, an endpoint wrote an earlier refusal once more. The caller found its whole head between the events. Cause: such a stream has no framing that shows where other bytes begin. Evidence: the cases copy and crcopy of TestErrorAfterBrokenStream failed on the code before. Change: a line of a stream that begins like a status line makes the response malformed: the stream is resumed elsewhere or aborted. Result: the test passes. A copy that begins in the middle of a line can't be told from the event's data.

--- a/gate/events.go
+++ b/gate/events.go
@@ -23,7 +23,10 @@
 	eventStreamType = "text/event-stream"
 )
 
-var idPrefix = []byte("id:")
+var (
+	idPrefix  = []byte("id:")
+	headStart = []byte("HTTP/1.")
+)
 
 // streamForm is how the body of a response is to be read. A resumed stream must have the form of its
 // beginning.
@@ -53,6 +56,9 @@
 		n, err := response.Read(chunk)
 		if n > 0 {
 			pending = append(pending, chunk[:n]...)
+			if containsHead(pending) {
+				return a.handleFailure(ctx, fault.Newf("read", relay.KindMalformed, "another response inside a stream"))
+			}
 			if writeErr := a.forwardEvents(response, &pending); writeErr != nil {
 				a.recordEnd(pool.Cancelled)
 				inflight.leave(http.StatusOK)
@@ -70,6 +76,22 @@
 	}
 }
 
+// containsHead reports whether a line of a stream begins another response: a stream that ends with
+// its connection does not show where additional bytes of the endpoint begin.
+func containsHead(pending []byte) bool {
+	for start := 0; ; {
+		index := bytes.Index(pending[start:], headStart)
+		if index < 0 {
+			return false
+		}
+		start += index
+		if start == 0 || isLineEnd(pending[start-1]) {
+			return true
+		}
+		start += len(headStart)
+	}
+}
+
 // forwardEvents writes the complete events among the pending bytes and removes them from pending.
 func (a *attempt) forwardEvents(response *relay.EndpointResponse, pending *[]byte) error {
 	inflight := a.inflight
