test(relay): responses cut off at every byte

A response with a length, with chunks, with a trailer, without either and without a body is cut at each byte of its head and its framing, by the end of the connection and by a reset: it is never taken for a response. The test can fail: with an unexpected end read as the end of the response, the cases length, chunks and trailer fail.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -232,3 +232,36 @@
 		t.Fatal("the connection was not closed")
 	}
 }
+
+// Guards against a response that is cut off in its head or its framing and taken for a complete one.
+func TestCutResponseIsNoResponse(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Type: text/plain\r\n"
+	for name, whole := range map[string]string{
+		"length":  head + "Content-Length: 10\r\n\r\n0123456789",
+		"chunks":  head + "Transfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n0\r\n\r\n",
+		"trailer": head + "Transfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n0a;x=1\r\n0123456789\r\n0\r\nX-T: 1\r\n\r\n",
+		"no end":  head + "\r\n",
+		"empty":   "HTTP/1.1 204 None\r\nX-Id: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var size atomic.Int64
+			address, _ := endpoint(t, func(n int, _ *http.Request, c net.Conn) bool {
+				writeLines(c, whole[:size.Load()])
+				if n%2 == 0 {
+					time.Sleep(time.Millisecond) // most bytes arrive before the reset
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				return false
+			})
+			p := relay.NewPool(relay.Config{Address: address})
+			for size.Store(0); size.Load() < int64(len(whole)); size.Add(1) {
+				for range 2 { // the end of the connection, then a reset
+					_, err := exchange(t.Context(), p, request("GET", nil))
+					require.Equal(t, relay.KindBroken, fault.KindOf[relay.Kind](err), "%q", whole[:size.Load()])
+				}
+			}
+			_, err := exchange(t.Context(), p, request("GET", nil))
+			require.NoError(t, err)
+		})
+	}
+}
