--- a/gate/events.go
+++ b/gate/events.go
@@ -171,7 +171,7 @@
 // event ends with an empty line; lines end with LF, CR LF or CR.
 func completeEvents(pending []byte) int {
 	for end := len(pending); end > 0; end-- {
-		line := end // where the last line end before end starts
+		var line int // where the last line end before end starts
 		switch {
 		case pending[end-1] == '\n' && end > 1 && pending[end-2] == '\r':
 			line = end - 2
