fix(entry): never end a request of a caller that left with a complete response

A caller that closed its side for writing after its request got 200 with an empty body, for a call as well as for a completion.

The end of the caller's data ends the request's context, the handler returned without having written anything, and net/http then sends an empty 200.

Change: such a request aborts its connection. A response in progress is cut off, so that it can't be taken for complete.

Evidence: TestHalfClosedCallerGetsNoCompleteResponse fails on the code before for both kinds with 200 and an empty body and passes now, two runs. The tests of package entry pass.

--- a/entry/call.go
+++ b/entry/call.go
@@ -44,6 +44,15 @@
 	call.run(r.Context(), w, core.RequestArrived{
 		Head: head, Fingerprint: fingerprint(head.Service, call.method+" "+call.target, body), Bytes: ident.Bytes(len(body)),
 	})
+	abortIfLeft(call.left)
+}
+
+// abortIfLeft aborts the response to a caller that has left. A caller that is there nevertheless must not
+// take a response that has not been written for a complete one.
+func abortIfLeft(left bool) {
+	if left {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // plainCall is one call of a plain service in progress.
@@ -55,6 +64,8 @@
 	header  http.Header
 	body    []byte
 	cancels []attemptCancel
+	// left reports whether the request ended because its caller has disconnected.
+	left bool
 }
 
 type attemptCancel struct {
@@ -73,6 +84,7 @@
 		select {
 		case <-ctx.Done():
 			p.endDisconnected()
+			p.left = true
 			return
 		case action := <-p.pending.actions:
 			if p.execute(ctx, w, action) {
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -37,6 +37,7 @@
 		Head: head, PromptTokens: parsed.tokens(), MaxTokens: parsed.answerLimit(), Prefix: parsed.prefix(),
 		Fingerprint: fingerprint(head.Service, "", parsed.body), Bytes: ident.Bytes(len(parsed.body)),
 	})
+	abortIfLeft(call.left)
 }
 
 // readRequest admits a request and reads its body. If either fails, it answers with the
@@ -74,6 +75,8 @@
 	prompt   *prompt
 	writer   *completionWriter
 	attempts []*engineAttempt
+	// left reports whether the request ended because its caller has disconnected.
+	left bool
 }
 
 // run executes the core's actions until the request has ended.
@@ -90,6 +93,7 @@
 		select {
 		case <-ctx.Done():
 			x.endDisconnected()
+			x.left = true
 			return
 		case action := <-x.pending.actions:
 			if x.execute(ctx, action) {
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -246,6 +246,7 @@
 		attempt.stallTimer.Stop()
 		if err := x.writer.writeEvent(event, attempt.engineID, x.server.clock.Now(), !event.Done && attempt.reader.Buffered()); err != nil {
 			x.endDisconnected()
+			x.left = true
 			return true
 		}
 		if event.Done {
@@ -264,6 +265,7 @@
 		x.writer.flush()
 		if ctx.Err() != nil {
 			x.endDisconnected()
+			x.left = true
 			return true
 		}
 		if x.writer.finished() && !errors.Is(err, io.EOF) {
