feat(gate): log which requests were starting at an endpoint when it crashed

Change: the line 'endpoint crashed' tells how many requests were starting (no output yet, or the first only moments before the break), with the ids and the shareable prompt parts of at most eight. No decision changes.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -52,6 +52,10 @@
 	// Regions lists the regions to which a home-bound request may be reported; empty
 	// means all.
 	Regions []ident.Region
+	// Parts lists the prompt parts that other requests may share, in order.
+	Parts []ident.Part
+	// Starting is set if the request had no output yet, or only since moments before the crash.
+	Starting bool
 }
 
 // Suspects is an LRU table of up to 4,096 suspected fingerprints. It is not safe for
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -89,6 +89,24 @@
 	a.inflight.placement.ExcludedEndpoints = append(a.inflight.placement.ExcludedEndpoints, a.destination.local.Endpoint)
 }
 
+// brokenRequest describes the request at the time when its connection to the endpoint broke.
+func (a *attempt) brokenRequest() brokenRequest {
+	inflight := a.inflight
+	return brokenRequest{
+		InFlightRequest: crash.InFlightRequest{
+			Fingerprint: inflight.fingerprint, Regions: inflight.route.HomeRegions,
+			Parts: shareableParts(inflight.placement.Parts), Starting: !inflight.hasStarted(inflight.server.clock.Now()),
+		},
+		attemptID: inflight.meta.AttemptID,
+	}
+}
+
+// hasStarted reports whether the request has had output for longer than its start takes, at this or
+// an earlier endpoint.
+func (f *inflight) hasStarted(now clock.Time) bool {
+	return f.firstOutput > 0 && now.Sub(f.firstOutput) > startTime
+}
+
 // handleFailure handles a send that ended without a complete response.
 func (a *attempt) handleFailure(ctx context.Context, err error) result {
 	inflight := a.inflight
@@ -123,7 +141,7 @@
 	default:
 		a.recordEnd(pool.Broken)
 		if a.destination.local != nil {
-			inflight.server.state.recordBroken(a.destination.local.Endpoint, crash.InFlightRequest{Fingerprint: inflight.fingerprint, Regions: inflight.route.HomeRegions})
+			inflight.server.state.recordBroken(a.destination.local.Endpoint, a.brokenRequest())
 		}
 	}
 	if inflight.repeatable() {
--- a/gate/events.go
+++ b/gate/events.go
@@ -75,7 +75,7 @@
 func (f *inflight) writeEvents(events []byte) error {
 	now := f.server.clock.Now()
 	if f.lastWrite == 0 {
-		f.firstEventDelay = now.Sub(f.arrived)
+		f.firstOutput, f.firstEventDelay = now, now.Sub(f.arrived)
 	} else {
 		f.longestPause = max(f.longestPause, now.Sub(f.lastWrite))
 	}
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -79,6 +79,8 @@
 	longestPause    clock.Span
 	lastWrite       clock.Time
 	lastEventID     string
+	// firstOutput is when the first output of an endpoint was forwarded, 0 before.
+	firstOutput clock.Time
 	// buffered is an endpoint's error response, which is delivered if no further send succeeds.
 	buffered *bufferedResponse
 	// lastDestination is the destination of the last send, for the log.
--- a/gate/state.go
+++ b/gate/state.go
@@ -60,7 +60,7 @@
 	// suspects tracks requests that may crash endpoints. brokenRequests holds the requests whose
 	// connection broke, by endpoint, until it is known whether the endpoint crashed.
 	suspects       *crash.Suspects
-	brokenRequests map[ident.Endpoint][]crash.InFlightRequest
+	brokenRequests map[ident.Endpoint][]brokenRequest
 	// control and listing are the newest data of the store, and answeredAt is when the store, or an
 	// instance that reads it, last answered this one.
 	control    store.Snapshot
@@ -80,7 +80,7 @@
 		answeredAt: config.Clock.Now(), listing: newListing(), retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
 		recentHops: make(recentHops), hopsDownUntil: make(map[string]clock.Time),
 		responseMemory: relay.NewMemory(responseMemoryLimit(config.Settings)),
-		suspects:       crash.New(crash.Config{Term: suspectTerm}), brokenRequests: make(map[ident.Endpoint][]crash.InFlightRequest),
+		suspects:       crash.New(crash.Config{Term: suspectTerm}), brokenRequests: make(map[ident.Endpoint][]brokenRequest),
 	}
 	if !config.Settings.FirstStart {
 		created.started = config.Clock.Now()
--- a/gate/suspect.go
+++ b/gate/suspect.go
@@ -1,12 +1,16 @@
 package gate
 
 import (
+	"slices"
+	"strconv"
+
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/pool"
 )
 
 const (
@@ -15,8 +19,18 @@
 	suspectTerm = 30 * clock.Second
 	// maxBrokenPerEndpoint bounds the broken requests that are kept for one endpoint.
 	maxBrokenPerEndpoint = 256
+	// maxLoggedSuspects bounds the requests and the prompt parts that are named in one line of the log.
+	maxLoggedSuspects = 8
+	// startTime is how long after the first output of a request a crash may still be due to its start.
+	startTime = 200 * clock.Millisecond
 )
 
+// brokenRequest is a request whose connection to an endpoint broke.
+type brokenRequest struct {
+	crash.InFlightRequest
+	attemptID string
+}
+
 // fingerprint identifies a request across sends by the parts that an endpoint receives.
 func fingerprint(host, uri string, body []byte) ident.Fingerprint {
 	var digest xxhash.Digest
@@ -35,11 +49,11 @@
 }
 
 // recordBroken records a request whose connection to an endpoint broke.
-func (s *state) recordBroken(id ident.Endpoint, inFlight crash.InFlightRequest) {
+func (s *state) recordBroken(id ident.Endpoint, broken brokenRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.brokenRequests[id]) < maxBrokenPerEndpoint {
-		s.brokenRequests[id] = append(s.brokenRequests[id], inFlight)
+		s.brokenRequests[id] = append(s.brokenRequests[id], broken)
 	}
 }
 
@@ -68,12 +82,48 @@
 // recordCrash distributes the suspicion among the requests that were running on a crashed
 // endpoint. The lock must be held.
 func (s *state) recordCrash(now clock.Time, id ident.Endpoint) {
-	inFlight := s.brokenRequests[id]
+	broken := s.brokenRequests[id]
 	delete(s.brokenRequests, id)
-	if len(inFlight) == 0 {
+	if len(broken) == 0 {
 		return
 	}
+	inFlight := make([]crash.InFlightRequest, 0, len(broken))
+	for _, b := range broken {
+		inFlight = append(inFlight, b.InFlightRequest)
+	}
 	reports := s.suspects.RecordEndpointCrash(now, inFlight)
+	starting, ids, parts := startingRequests(broken)
 	s.log.Warn("endpoint crashed", zap.String("endpoint", string(id)), zap.Int("requests", len(inFlight)),
-		zap.Int("suspects", len(reports)))
+		zap.Int("suspects", len(reports)), zap.Int("starting", starting), zap.Strings("ids", ids), zap.Strings("parts", parts))
+}
+
+// startingRequests returns the number of requests that had no output yet or only just had the first,
+// and for the log the ids and the shareable prompt parts of some of them.
+func startingRequests(broken []brokenRequest) (count int, ids, parts []string) {
+	for _, b := range broken {
+		if !b.Starting {
+			continue
+		}
+		count++
+		if len(ids) < maxLoggedSuspects {
+			ids = append(ids, b.attemptID)
+		}
+		for _, part := range b.Parts {
+			if name := partName(part); len(parts) < maxLoggedSuspects && !slices.Contains(parts, name) {
+				parts = append(parts, name)
+			}
+		}
+	}
+	return count, ids, parts
+}
+
+// partName returns the id of a prompt part as it is logged.
+func partName(part ident.Part) string { return strconv.FormatUint(uint64(part), 16) }
+
+// shareableParts returns the parts of a prompt that other requests may share: all but the last.
+func shareableParts(parts []pool.PromptPart) (ids []ident.Part) {
+	for i := range max(0, len(parts)-1) {
+		ids = append(ids, ident.Part(parts[i].ID))
+	}
+	return ids
 }
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -39,6 +39,8 @@
 	Fingerprint uint64
 	// Prefix is a hash of the beginning of a prompt.
 	Prefix uint64
+	// Part identifies a section of a prompt that several requests may share.
+	Part uint64
 	// Tokens is a number of model tokens.
 	Tokens int
 	// Bytes is a size in bytes.
