fix(gate,crash): a prompt part that crashes endpoints is found and refused

Cause: suspicion was keyed by the fingerprint of a whole request. Requests that share nothing but the part are never seen at two crashes, so nothing was ever refused.

Change: crash.Parts keeps, by prompt part, the pairs of a crash and a request that was starting there. A part is refused from two crashes with two requests on. One crash has one cause: the deepest part explains its crashes first, and these do not count for others. A part with which a request completed in the last two minutes is never refused. One instance tries a refused part 20 s after the last crash, later each time, at one endpoint. The evidence and the clearances are shared by the mesh, bound to the regions of home-bound requests. A request is checked before each send.

The decoder accepts a struct only with its own number of fields, so that a new field of the message would have stopped the exchange between two builds. The reports are sent in a datagram of their own, with field names; an earlier build takes it for a message without reports (TestMessagesOfEarlierBuild).

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -39,6 +39,23 @@
 	return data.Bytes(), nil
 }
 
+// EncodeNamed returns the encoding of a message with its structs as maps from field names. A decoder
+// skips the fields that it doesn't know. Errors have kind KindUnencodable.
+func EncodeNamed(message any) ([]byte, error) {
+	var data bytes.Buffer
+	encoder := msgpack.NewEncoder(&data)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(message); err != nil {
+		return nil, fault.Wrap("encode", KindUnencodable, err)
+	}
+	return data.Bytes(), nil
+}
+
+// IsNamed reports whether a message was encoded by EncodeNamed: whether it is a map.
+func IsNamed(data []byte) bool {
+	return len(data) > 0 && (data[0]&0xf0 == 0x80 || data[0] == 0xde || data[0] == 0xdf)
+}
+
 // Decode decodes a message, whether its structs are encoded as arrays or as maps. Errors have kind
 // KindMalformed.
 func Decode(data []byte, message any) error {
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -56,6 +56,8 @@
 	Parts []ident.Part
 	// Starting is set if the request had no output yet, or only since moments before the crash.
 	Starting bool
+	// Crash identifies the crash of the endpoint.
+	Crash ident.Crash
 }
 
 // Suspects is an LRU table of up to 4,096 suspected fingerprints. It is not safe for
--- a/gate/answer.go
+++ b/gate/answer.go
@@ -67,6 +67,7 @@
 	inflight.mayHaveRun = true
 	inflight.runs++
 	if response.StatusCode < http.StatusInternalServerError {
+		inflight.generated = response.StatusCode/100 == 2
 		a.recordEnd(pool.Complete)
 		inflight.deliverBuffered()
 		return resultDone
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -58,7 +58,7 @@
 	inflight.lastOutcome = string(outcome)
 	inflight.server.metrics.recordSend(string(outcome))
 	if outcome == pool.Complete {
-		inflight.server.state.recordCompleted(inflight.fingerprint)
+		inflight.server.state.recordCompleted(inflight, inflight.generated)
 	}
 	if a.send != nil {
 		inflight.server.state.withPool(func(p *pool.Pool, now clock.Time) { p.EndSend(now, a.send, outcome) })
@@ -95,7 +95,7 @@
 	return brokenRequest{
 		InFlightRequest: crash.InFlightRequest{
 			Fingerprint: inflight.fingerprint, Regions: inflight.route.HomeRegions,
-			Parts: shareableParts(inflight.placement.Parts), Starting: !inflight.hasStarted(inflight.server.clock.Now()),
+			Parts: inflight.parts, Starting: !inflight.hasStarted(inflight.server.clock.Now()),
 		},
 		attemptID: inflight.meta.AttemptID,
 	}
--- a/gate/events.go
+++ b/gate/events.go
@@ -79,7 +79,7 @@
 	} else {
 		f.longestPause = max(f.longestPause, now.Sub(f.lastWrite))
 	}
-	f.lastWrite = now
+	f.lastWrite, f.generated = now, true
 	if _, err := f.writer.Write(events); err != nil {
 		return err
 	}
--- a/gate/front.go
+++ b/gate/front.go
@@ -138,7 +138,7 @@
 	backend := table.Backends[service]
 	return &inflight{
 		server: s, writer: w, request: r, table: table, route: route, meta: meta, header: header,
-		arrived: arrived, deadline: arrived.Add(limit), lastEventID: meta.LastEventID,
+		arrived: arrived, deadline: arrived.Add(limit), lastEventID: meta.LastEventID, parts: shareableParts(meta.Parts),
 		placement: pool.Request{
 			Service: service, Engine: backend.Engine, KVTokens: backend.KVTokens, ColdRate: backend.ColdRate, MaxConnections: backend.MaxConnections,
 			Parts: meta.Parts, PromptTokens: meta.PromptTokens, MaxOutputTokens: meta.MaxOutputTokens, Priority: route.Priority, Target: route.TargetLatency, HomeRegions: route.HomeRegions,
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -60,6 +60,12 @@
 	fingerprint ident.Fingerprint
 	header      http.Header
 	hopped      bool
+	// parts lists the prompt parts that other requests may share, in order.
+	parts []ident.Part
+	// trial is set if the request runs although a part of it is refused.
+	trial bool
+	// refusedPart is the prompt part because of which the request is refused.
+	refusedPart ident.Part
 
 	arrived  clock.Time
 	deadline clock.Time
@@ -81,6 +87,8 @@
 	lastEventID     string
 	// firstOutput is when the first output of an endpoint was forwarded, 0 before.
 	firstOutput clock.Time
+	// generated is set if an endpoint has generated a successful response, or the events of one.
+	generated bool
 	// buffered is an endpoint's error response, which is delivered if no further send succeeds.
 	buffered *bufferedResponse
 	// lastDestination is the destination of the last send, for the log.
@@ -118,8 +126,8 @@
 		if f.expired(ctx) {
 			return
 		}
-		if f.server.state.crashRefused(f.fingerprint) {
-			f.giveUp(destination{reason: "request crashed endpoints", wait: suspectTerm})
+		if reason := f.crashReason(); reason != "" {
+			f.giveUp(destination{reason: reason, wait: suspectTerm})
 			return
 		}
 		target, ok := f.chooseDestination()
@@ -195,7 +203,7 @@
 			best, found = destination{local: &choice, delay: choice.Delay, wait: choice.Wait, cost: choice.Cost}, true
 		}
 	})
-	if !f.hopped {
+	if !f.hopped && !f.trial {
 		candidate, ok := f.server.state.bestHop(f.server.clock.Now(), f, plan)
 		if ok && (!found || candidate.cost+minHopGain < best.cost) {
 			best, found = destination{hop: &candidate, delay: candidate.delay, wait: candidate.wait, cost: candidate.cost}, true
@@ -245,7 +253,7 @@
 // maxRuns returns how many endpoints may run the request from this instance. The instance that
 // passed a request on counts its runs, so that the route's limit holds for both together.
 func (f *inflight) maxRuns() int {
-	if f.hopped {
+	if f.hopped || f.trial {
 		return 1
 	}
 	return f.route.MaxAttempts
@@ -314,10 +322,14 @@
 // finish records the end of a request in the log and the metrics.
 func (f *inflight) finish(outcome string, status int) {
 	total := f.server.clock.Now().Sub(f.arrived)
+	part := zap.Skip()
+	if f.refusedPart != 0 {
+		part = zap.String("part", partName(f.refusedPart))
+	}
 	f.server.metrics.recordRequest(f.route.Name, outcome, int64(total))
 	f.server.log.Info("request", zap.String("request", f.meta.AttemptID), zap.String("outcome", outcome), zap.Int("status", status),
 		zap.String("route", f.route.Name), zap.String("to", f.lastDestination), zap.String("last", f.lastOutcome), zap.Int("sends", f.sends),
 		zap.Bool("hopped", f.hopped), zap.Int("missing", int(f.uncachedTokens)),
 		zap.Int("prompt", int(f.meta.PromptTokens)), zap.Uint64("version", uint64(f.table.Version)), zap.Int64("total", int64(total)),
-		zap.Int64("first", int64(f.firstEventDelay)), zap.Int64("pause", int64(f.longestPause)), zap.Int64("left", int64(f.remaining())))
+		zap.Int64("first", int64(f.firstEventDelay)), zap.Int64("pause", int64(f.longestPause)), zap.Int64("left", int64(f.remaining())), part)
 }
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -22,6 +22,8 @@
 	connections   gometrics.Counter
 	storeFailures gometrics.Counter
 	active        gometrics.Counter
+	// partRefusals counts the requests that are refused because of a prompt part.
+	partRefusals gometrics.Counter
 	// panics counts the panics that were contained.
 	panics gometrics.Counter
 	// syncBytes counts the bytes of store data that are sent to other instances.
@@ -34,7 +36,7 @@
 	counter := func(name string) gometrics.Counter { return gometrics.NewRegisteredCounter(name, registry) }
 	return &metrics{
 		registry: registry, connections: counter("endpoint.connections"), storeFailures: counter("store.failures"),
-		active: counter("requests.active"), syncBytes: counter("sync.bytes"), panics: counter("panics"), meshBytes: counter("mesh.bytes"),
+		active: counter("requests.active"), partRefusals: counter("requests.part-refused"), syncBytes: counter("sync.bytes"), panics: counter("panics"), meshBytes: counter("mesh.bytes"),
 	}
 }
 
--- a/gate/state.go
+++ b/gate/state.go
@@ -57,9 +57,12 @@
 	// hopsDownUntil holds, by address, until when an instance gets no requests after a failed
 	// connection attempt.
 	hopsDownUntil map[string]clock.Time
-	// suspects tracks requests that may crash endpoints. brokenRequests holds the requests whose
+	// suspects tracks requests that may crash endpoints, and parts the prompt parts. refusedParts holds
+	// the refused parts as they were last logged. brokenRequests holds the requests whose
 	// connection broke, by endpoint, until it is known whether the endpoint crashed.
 	suspects       *crash.Suspects
+	parts          *crash.Parts
+	refusedParts   map[ident.Part]crash.PartVerdict
 	brokenRequests map[ident.Endpoint][]brokenRequest
 	// control and listing are the newest data of the store, and answeredAt is when the store, or an
 	// instance that reads it, last answered this one.
@@ -80,7 +83,8 @@
 		answeredAt: config.Clock.Now(), listing: newListing(), retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
 		recentHops: make(recentHops), hopsDownUntil: make(map[string]clock.Time),
 		responseMemory: relay.NewMemory(responseMemoryLimit(config.Settings)),
-		suspects:       crash.New(crash.Config{Term: suspectTerm}), brokenRequests: make(map[ident.Endpoint][]brokenRequest),
+		parts:          crash.NewParts(crash.PartsConfig{}), refusedParts: make(map[ident.Part]crash.PartVerdict),
+		suspects: crash.New(crash.Config{Term: suspectTerm}), brokenRequests: make(map[ident.Endpoint][]brokenRequest),
 	}
 	if !config.Settings.FirstStart {
 		created.started = config.Clock.Now()
@@ -125,6 +129,8 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	s.suspects.MergeCrashReports(now, facts.CrashReports)
+	s.parts.Merge(now, facts.Parts)
+	s.logRefusedParts(now)
 	if from.Region != s.settings.Region || facts.Loads == nil {
 		return
 	}
@@ -140,7 +146,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	facts := mesh.Facts{Loads: []mesh.EndpointLoad{}, Services: s.pool.Summaries(now), CrashReports: s.suspects.CrashReports(now)}
+	facts := mesh.Facts{Loads: []mesh.EndpointLoad{}, Services: s.pool.Summaries(now), CrashReports: s.suspects.CrashReports(now), Parts: s.parts.Facts(now)}
 	for id, l := range s.pool.OwnLoads() {
 		facts.Loads = append(facts.Loads, mesh.EndpointLoad{Endpoint: id, Count: l.Count, PrefillBacklog: l.PrefillBacklog.Compact(), MemoryTokens: l.MemoryTokens})
 	}
--- a/gate/suspect.go
+++ b/gate/suspect.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -10,7 +9,6 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/ident"
-	"github.com/tanagerbridge/tanagerbridge/pool"
 )
 
 const (
@@ -52,7 +50,7 @@
 func (s *state) recordBroken(id ident.Endpoint, broken brokenRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.brokenRequests[id]) < maxBrokenPerEndpoint {
+	if broken.Crash = s.crashID(id); len(s.brokenRequests[id]) < maxBrokenPerEndpoint {
 		s.brokenRequests[id] = append(s.brokenRequests[id], broken)
 	}
 }
@@ -65,11 +63,17 @@
 	delete(s.brokenRequests, id)
 }
 
-// recordCompleted records that a request has completed.
-func (s *state) recordCompleted(fingerprint ident.Fingerprint) {
+// recordCompleted records that a request has completed. generated reports whether the endpoint has
+// generated output for it.
+func (s *state) recordCompleted(f *inflight, generated bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspects.RecordCompletion(s.clock.Now(), fingerprint)
+	now := s.clock.Now()
+	s.suspects.RecordCompletion(now, f.fingerprint)
+	if generated {
+		s.parts.RecordCompletion(now, f.parts, f.route.HomeRegions)
+		s.logRefusedParts(now)
+	}
 }
 
 // recordUnreachable records that an endpoint whose connections broke cannot be reached.
@@ -92,9 +96,11 @@
 		inFlight = append(inFlight, b.InFlightRequest)
 	}
 	reports := s.suspects.RecordEndpointCrash(now, inFlight)
+	s.parts.RecordCrash(now, inFlight)
 	starting, ids, parts := startingRequests(broken)
 	s.log.Warn("endpoint crashed", zap.String("endpoint", string(id)), zap.Int("requests", len(inFlight)),
 		zap.Int("suspects", len(reports)), zap.Int("starting", starting), zap.Strings("ids", ids), zap.Strings("parts", parts))
+	s.logRefusedParts(now)
 }
 
 // startingRequests returns the number of requests that had no output yet or only just had the first,
@@ -116,14 +122,3 @@
 	}
 	return count, ids, parts
 }
-
-// partName returns the id of a prompt part as it is logged.
-func partName(part ident.Part) string { return strconv.FormatUint(uint64(part), 16) }
-
-// shareableParts returns the parts of a prompt that other requests may share: all but the last.
-func shareableParts(parts []pool.PromptPart) (ids []ident.Part) {
-	for i := range max(0, len(parts)-1) {
-		ids = append(ids, ident.Part(parts[i].ID))
-	}
-	return ids
-}
--- /dev/null
+++ b/gossip/parts.go
@@ -0,0 +1,53 @@
+package gossip
+
+import (
+	"slices"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// PartReport reports that a request with a prompt part was starting at an endpoint when that crashed.
+type PartReport struct {
+	Part ident.Part `msgpack:"part"`
+	// Depth is the number of parts before it in the prompt.
+	Depth   int               `msgpack:"depth"`
+	Crash   ident.Crash       `msgpack:"crash"`
+	Request ident.Fingerprint `msgpack:"request"`
+	// Regions are the regions that may learn of it; empty means all.
+	Regions []ident.Region `msgpack:"regions,omitempty"`
+	// Remaining is the remaining validity of the report.
+	Remaining clock.Span `msgpack:"rest"`
+}
+
+// PartClearance reports that a request with a prompt part has completed.
+type PartClearance struct {
+	Part ident.Part `msgpack:"part"`
+	// Regions are the regions that may learn of it; empty means all.
+	Regions   []ident.Region `msgpack:"regions,omitempty"`
+	Remaining clock.Span     `msgpack:"rest"`
+}
+
+// PartFacts is what is reported about prompt parts.
+type PartFacts struct {
+	PartReports    []PartReport    `msgpack:"reports,omitempty"`
+	PartClearances []PartClearance `msgpack:"cleared,omitempty"`
+}
+
+// Empty reports whether there is nothing to tell.
+func (f PartFacts) Empty() bool { return len(f.PartReports) == 0 && len(f.PartClearances) == 0 }
+
+// VisibleTo returns what a region may learn of the facts.
+func (f PartFacts) VisibleTo(region ident.Region) (visible PartFacts) {
+	for _, r := range f.PartReports {
+		if len(r.Regions) == 0 || slices.Contains(r.Regions, region) {
+			visible.PartReports = append(visible.PartReports, r)
+		}
+	}
+	for _, c := range f.PartClearances {
+		if len(c.Regions) == 0 || slices.Contains(c.Regions, region) {
+			visible.PartClearances = append(visible.PartClearances, c)
+		}
+	}
+	return visible
+}
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -41,6 +41,8 @@
 	Prefix uint64
 	// Part identifies a section of a prompt that several requests may share.
 	Part uint64
+	// Crash identifies one crash: a hash of the endpoint and its incarnation.
+	Crash uint64
 	// Tokens is a number of model tokens.
 	Tokens int
 	// Bytes is a size in bytes.
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -24,6 +24,8 @@
 const (
 	// KindListen says that the address cannot be bound.
 	KindListen Kind = "listening"
+	// KindTooLarge says that a message does not fit into a datagram.
+	KindTooLarge Kind = "too large"
 )
 
 // Error is the error of this package.
@@ -68,7 +70,8 @@
 	Counter     uint64
 }
 
-// Message is the content of one datagram.
+// Message is the content of one datagram, or of two if it reports prompt parts; see Datagrams. Its
+// fields can't be changed without breaking the exchange with other builds.
 type Message struct {
 	From Record
 	// Receiver is the name of the intended receiver, or empty if the sender knows only its address.
@@ -107,6 +110,9 @@
 	Services []pool.Summary
 	// CrashReports identifies requests that are suspected of crashing endpoints.
 	CrashReports []gossip.CrashReport
+	// Parts is what is known of prompt parts that crash endpoints. It is sent in a datagram of its own:
+	// a build accepts only arrays with its own number of fields.
+	Parts gossip.PartFacts `msgpack:"-"`
 }
 
 // EndpointLoad is the load that the sender puts on one endpoint.
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/tanagerbridge/tanagerbridge/codec"
+	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
 )
@@ -15,19 +16,22 @@
 		{From: mesh.Record{Name: "b", Incarnation: 1, Counter: 3, State: mesh.Ready, Region: "r0"}, Receiver: "i0", Heartbeat: true},
 		{From: mesh.Record{Name: "b", Region: "r1"}, Down: []mesh.DownNotice{{Name: "i1", Incarnation: 1, Counter: 9}}, RelayDown: true},
 		{From: mesh.Record{Name: "b", Region: "r0"}, Probe: []ident.Entry{"i1"}, Reached: []ident.Entry{"i2"}, Join: true, WantReply: true},
+		{From: mesh.Record{Name: "b", Region: "r0"}, Facts: mesh.Facts{Parts: gossip.PartFacts{PartReports: []gossip.PartReport{{Part: 1, Crash: 2, Request: 3, Remaining: 4}}}}},
 	} {
-		data, err := codec.Encode(m)
+		datagrams, err := mesh.Datagrams(m)
 		if err != nil {
 			f.Fatal(err)
 		}
-		f.Add(data)
+		for _, data := range datagrams {
+			f.Add(data)
+		}
 	}
 	fleet := newNetwork(12, 2)
 	fleet.round(30)
 	table := fleet.tables["m0"]
 	f.Fuzz(func(t *testing.T, data []byte) {
-		var message mesh.Message
-		if codec.Decode(data, &message) != nil {
+		message, err := mesh.ParseDatagram(data)
+		if err != nil {
 			return
 		}
 		messages := table.Receive(fleet.now, message)
--- /dev/null
+++ b/mesh/mixed_test.go
@@ -0,0 +1,69 @@
+package mesh_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/codec"
+	"github.com/tanagerbridge/tanagerbridge/gossip"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/mesh"
+)
+
+// EarlierFacts and earlierMessage have the fields of the build before prompt parts were reported.
+type EarlierFacts struct {
+	Loads        []mesh.EndpointLoad
+	Services     []struct{ Service ident.Service }
+	CrashReports []gossip.CrashReport
+}
+
+type earlierMessage struct {
+	From          mesh.Record
+	Receiver      ident.Entry
+	Heartbeat     bool
+	Down          []mesh.DownNotice
+	RelayDown     bool
+	Probe         []ident.Entry
+	Reached       []ident.Entry
+	Join          bool
+	JoinFrom      ident.Entry
+	HearsReceiver bool
+	Records       []mesh.Record
+	EarlierFacts
+	WantReply  bool
+	Sent       clock.Time
+	EchoedTime clock.Time
+	HoldTime   clock.Span
+}
+
+// Guards against instances of two builds that do not understand each other during an update.
+func TestMessagesOfEarlierBuild(t *testing.T) {
+	sent := mesh.Message{
+		From: mesh.Record{Name: "m1", Counter: 7}, Receiver: "m2", WantReply: true, Sent: 5, EchoedTime: 6, HoldTime: 7,
+		Facts: mesh.Facts{CrashReports: []gossip.CrashReport{{Fingerprint: 1, Remaining: 9}}, Parts: gossip.PartFacts{
+			PartReports:    []gossip.PartReport{{Part: 1 << 60, Depth: 1, Crash: 2, Request: 3, Regions: []ident.Region{"r0"}, Remaining: 9}},
+			PartClearances: []gossip.PartClearance{{Part: 2, Remaining: 8}},
+		}},
+	}
+	datagrams, err := mesh.Datagrams(sent)
+	require.NoError(t, err)
+	require.Len(t, datagrams, 2)
+	var earlier, reports earlierMessage
+	require.NoError(t, codec.Decode(datagrams[0], &earlier))
+	require.Equal(t, sent.CrashReports, earlier.CrashReports)
+	require.Equal(t, []any{sent.From, true, clock.Time(5), clock.Time(6), clock.Span(7)}, []any{earlier.From, earlier.WantReply, earlier.Sent, earlier.EchoedTime, earlier.HoldTime})
+	require.NoError(t, codec.Decode(datagrams[1], &reports))
+	require.Equal(t, earlierMessage{From: sent.From, Receiver: "m2"}, reports)
+
+	received, err := mesh.ParseDatagram(datagrams[1])
+	require.NoError(t, err)
+	require.Equal(t, mesh.Message{From: sent.From, Receiver: "m2", Facts: mesh.Facts{Parts: sent.Parts}}, received)
+	data, err := codec.Encode(earlier)
+	require.NoError(t, err)
+	received, err = mesh.ParseDatagram(data)
+	require.NoError(t, err)
+	sent.Parts = gossip.PartFacts{}
+	require.Equal(t, sent, received)
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
-	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/logs"
@@ -102,8 +101,8 @@
 // handle processes one datagram. A panic ends only that.
 func (n *Node) handle(datagram []byte) {
 	defer logs.RecoverPanic(n.config.Log, "datagram", n.config.OnPanic)
-	var message Message
-	if err := codec.Decode(datagram, &message); err != nil {
+	message, err := ParseDatagram(datagram)
+	if err != nil {
 		n.config.Log.Warn("malformed datagram", zap.Error(err))
 		return
 	}
@@ -120,14 +119,9 @@
 
 func (n *Node) send(messages []OutgoingMessage) {
 	for _, l := range messages {
-		data, err := codec.Encode(l.Message)
-		if err == nil && len(data) > maxDatagramBytes {
-			// Membership must not depend on how much there is to report.
-			l.Message.Facts, l.Message.Records = Facts{}, nil
-			data, err = codec.Encode(l.Message)
-		}
-		if err != nil || len(data) > maxDatagramBytes {
-			n.config.Log.Warn("message not sent: encoding failed or datagram too large", zap.Int("bytes", len(data)), zap.Error(err))
+		datagrams, err := Datagrams(l.Message)
+		if err != nil {
+			n.config.Log.Warn("message not sent", zap.Error(err))
 			continue
 		}
 		address, err := net.ResolveUDPAddr("udp4", l.Address)
@@ -135,10 +129,12 @@
 			n.config.Log.Warn("invalid instance address", zap.String("address", l.Address), zap.Error(err))
 			continue
 		}
-		// A lost datagram is superseded by the next round.
-		_, _ = n.socket.WriteToUDP(data, address)
-		if n.config.OnSent != nil {
-			n.config.OnSent(len(data))
+		for _, data := range datagrams {
+			// A lost datagram is superseded by the next round.
+			_, _ = n.socket.WriteToUDP(data, address)
+			if n.config.OnSent != nil {
+				n.config.OnSent(len(data))
+			}
 		}
 	}
 }
--- a/mesh/round.go
+++ b/mesh/round.go
@@ -49,11 +49,13 @@
 			message.Join, message.JoinFrom = true, t.nextJoinWindow(regional)
 		}
 		message.Down, message.Loads, message.CrashReports = notices, loads, visibleReports(facts.CrashReports, p.Region)
+		message.Parts = facts.Parts.VisibleTo(p.Region)
 		messages = append(messages, OutgoingMessage{p.Mesh, message})
 	}
 	for _, p := range nextInCycle(remote, &t.remoteCursor, max(remoteFanout, t.regionCount)) {
 		message := t.messageTo(now, p)
 		message.Down, message.Services, message.CrashReports = notices, facts.Services, visibleReports(facts.CrashReports, p.Region)
+		message.Parts = facts.Parts.VisibleTo(p.Region)
 		messages = append(messages, OutgoingMessage{p.Mesh, message})
 	}
 	return messages
