fix(crash): a part is found although many requests with it or others were starting at each crash

What callers would have seen: a part that goes on crashing endpoints while many requests with it arrive.

Cause: the evidence against a part was bounded to its 16 newest pairs, so that 16 requests of one crash displaced the other crash, and a part at one crash is not refused. The reports of a message were the first 32 by time and part id, so that of a crash with many requests the same ones were sent each time.

Evidence: TestManyRequestsAtACrash, with 40 requests at each of two crashes, finds no refused part before. Change: at most four pairs of one crash are kept, those with the lowest fingerprints, so that the order of arrival does not matter; half of the reports of a message are the newest, the others take turns.

--- a/crash/parts.go
+++ b/crash/parts.go
@@ -14,11 +14,13 @@
 	defaultPartTerm = 2 * clock.Minute
 	// minPartEvidence is the number of crashes, and of requests at them, from which a part is refused.
 	minPartEvidence = 2
-	// maxParts bounds the parts with evidence, maxPairs the evidence of one of them and
-	// maxClearedParts the parts that are known to be harmless; together they take about 1 MB.
-	maxParts        = 512
-	maxPairs        = 16
-	maxClearedParts = 4096
+	// maxParts bounds the parts with evidence, maxPairs the evidence against one of them,
+	// maxPairsPerCrash that of one crash, so that two crashes are always kept, and maxClearedParts the
+	// parts that are known to be harmless; together they take about 1 MB.
+	maxParts         = 512
+	maxPairs         = 16
+	maxPairsPerCrash = 4
+	maxClearedParts  = 4096
 	// maxPartReports and maxPartClearances bound what is in one message, about 1.5 KB.
 	maxPartReports    = 32
 	maxPartClearances = 16
@@ -60,6 +62,8 @@
 	verdicts   map[ident.Part]PartVerdict
 	changed    bool
 	nextExpiry clock.Time
+	// reportCursor is the position in the reports that are told in turn.
+	reportCursor int
 }
 
 // partRecord is the evidence against one part.
@@ -139,8 +143,7 @@
 	}
 }
 
-// Facts returns what is reported to the other instances: the newest evidence, and the clearances of
-// parts that others have evidence against.
+// Facts returns what is reported to the other instances: evidence, and the clearances of parts that others have evidence against.
 func (p *Parts) Facts(now clock.Time) (facts gossip.PartFacts) {
 	for record := range p.suspect.all() {
 		for _, e := range record.pairs {
@@ -154,7 +157,7 @@
 	slices.SortFunc(facts.PartReports, func(a, b gossip.PartReport) int {
 		return cmp.Or(cmp.Compare(b.Remaining, a.Remaining), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Request, b.Request))
 	})
-	facts.PartReports = facts.PartReports[:min(len(facts.PartReports), maxPartReports)]
+	facts.PartReports = p.selectReports(facts.PartReports)
 	for known := range p.cleared.all() {
 		remaining := known.expires.Sub(now)
 		if len(facts.PartClearances) < maxPartClearances && now.Before(known.announceUntil) && remaining >= minForwarded {
@@ -164,6 +167,21 @@
 	return facts
 }
 
+// selectReports returns the newest reports and, if there are more than fit into a message, some of
+// the others in turn.
+func (p *Parts) selectReports(reports []gossip.PartReport) []gossip.PartReport {
+	if len(reports) <= maxPartReports {
+		return reports
+	}
+	const newest = maxPartReports / 2
+	selected, rest := slices.Clone(reports[:newest]), reports[newest:]
+	for range maxPartReports - newest {
+		p.reportCursor = (p.reportCursor + 1) % len(rest)
+		selected = append(selected, rest[p.reportCursor])
+	}
+	return selected
+}
+
 // Refused returns the first of the parts that is refused.
 func (p *Parts) Refused(now clock.Time, parts []ident.Part) (ident.Part, bool) {
 	p.update(now)
@@ -257,13 +275,27 @@
 	if depth > record.depth {
 		record.depth, p.changed = depth, true
 	}
-	if slices.ContainsFunc(record.pairs, func(e pair) bool { return e.crash == evidence.crash && e.request == evidence.request }) {
+	if record.has(evidence) {
 		return
 	}
 	record.pairs = append(record.pairs, evidence)
-	slices.SortFunc(record.pairs, func(a, b pair) int {
-		return cmp.Or(cmp.Compare(b.expires, a.expires), cmp.Compare(a.crash, b.crash), cmp.Compare(a.request, b.request))
+	record.trim()
+	p.changed = p.changed || record.has(evidence)
+}
+
+// has reports whether the evidence is known.
+func (r *partRecord) has(evidence pair) bool {
+	return slices.ContainsFunc(r.pairs, func(e pair) bool { return e.crash == evidence.crash && e.request == evidence.request })
+}
+
+// trim drops evidence beyond the bounds. What is kept does not depend on the order of arrival.
+func (r *partRecord) trim() {
+	slices.SortFunc(r.pairs, func(a, b pair) int { return cmp.Compare(a.request, b.request) })
+	perCrash := make(map[ident.Crash]int)
+	r.pairs = slices.DeleteFunc(r.pairs, func(e pair) bool {
+		perCrash[e.crash]++
+		return perCrash[e.crash] > maxPairsPerCrash
 	})
-	record.pairs = record.pairs[:min(len(record.pairs), maxPairs)]
-	p.changed = true
+	slices.SortStableFunc(r.pairs, func(a, b pair) int { return cmp.Compare(b.expires, a.expires) })
+	r.pairs = r.pairs[:min(len(r.pairs), maxPairs)]
 }
--- a/crash/parts_test.go
+++ b/crash/parts_test.go
@@ -143,6 +143,25 @@
 	require.Equal(t, []ident.Part{1_000_000}, refusedParts(parts, start))
 }
 
+// Guards against a part that is not found because many requests with it, or with other parts, were
+// starting at each crash.
+func TestManyRequestsAtACrash(t *testing.T) {
+	one, two := crash.NewParts(crash.PartsConfig{}), crash.NewParts(crash.PartsConfig{})
+	for at := range ident.Crash(2) {
+		var inFlight []crash.InFlightRequest
+		for i := range 40 {
+			n := ident.Fingerprint(100*uint64(at) + uint64(i))
+			inFlight = append(inFlight, starting(at, n, 10, 5000), starting(at, n+50, 10, ident.Part(1000+n)))
+		}
+		one.RecordCrash(start, inFlight)
+	}
+	require.Equal(t, []ident.Part{5000}, refusedParts(one, start))
+	for range 20 {
+		two.Merge(start, one.Facts(start))
+	}
+	require.Equal(t, []ident.Part{5000}, refusedParts(two, start))
+}
+
 const (
 	deadly    ident.Part = 100
 	instances int        = 3
