--- a/mesh/mixed_test.go
+++ b/mesh/mixed_test.go
@@ -1,6 +1,7 @@
 package mesh_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -67,3 +68,28 @@
 	sent.Parts = gossip.PartFacts{}
 	require.Equal(t, sent, received)
 }
+
+// Guards against reports about prompt parts that are never sent because they do not fit.
+func TestPartReportsFitIntoADatagram(t *testing.T) {
+	const reports, clearances = 32, 16 // the most that crash.Parts reports
+	regions := []ident.Region{"a-region-of-a-long-name", "another-region-of-a-long-name", "one-more-region"}
+	var facts gossip.PartFacts
+	for i := range reports {
+		facts.PartReports = append(facts.PartReports, gossip.PartReport{
+			Part: math.MaxUint64 - ident.Part(i), Depth: 255, Crash: math.MaxUint64, Request: math.MaxUint64, Regions: regions, Remaining: 2 * clock.Minute,
+		})
+	}
+	for i := range clearances {
+		facts.PartClearances = append(facts.PartClearances, gossip.PartClearance{Part: math.MaxUint64 - ident.Part(i), Regions: regions, Remaining: 2 * clock.Minute})
+	}
+	datagrams, err := mesh.Datagrams(mesh.Message{From: mesh.Record{Name: "m1"}, Facts: mesh.Facts{Parts: facts}})
+	require.NoError(t, err)
+	require.Len(t, datagrams, 2)
+	for i := range facts.PartReports {
+		facts.PartReports[i].Regions = nil
+	}
+	facts.PartClearances = nil
+	unbound, err := mesh.Datagrams(mesh.Message{From: mesh.Record{Name: "m1"}, Facts: mesh.Facts{Parts: facts}})
+	require.NoError(t, err)
+	t.Logf("%d bytes at most with three regions, %d with %d reports without regions", len(datagrams[1]), len(unbound[1]), reports)
+}
