--- a/gate/suspect.go
+++ b/gate/suspect.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
@@ -15,8 +17,18 @@
 	suspectTerm = 30 * clock.Second
 	// maxBrokenPerEndpoint bounds the broken requests that are kept for one endpoint.
 	maxBrokenPerEndpoint = 256
+	// maxLoggedSuspects bounds the requests and the prompt parts that are named in one line of the log.
+	maxLoggedSuspects = 8
+	// startTime is how long after the first output of a request a crash may still be due to its start.
+	startTime = 200 * clock.Millisecond
 )
 
+// brokenRequest is a request whose connection to an endpoint broke.
+type brokenRequest struct {
+	crash.InFlightRequest
+	attemptID string
+}
+
 // fingerprint identifies a request across sends by the parts that an endpoint receives.
 func fingerprint(host, uri string, body []byte) ident.Fingerprint {
 	var digest xxhash.Digest
@@ -35,11 +47,11 @@
 }
 
 // recordBroken records a request whose connection to an endpoint broke.
-func (s *state) recordBroken(id ident.Endpoint, inFlight crash.InFlightRequest) {
+func (s *state) recordBroken(id ident.Endpoint, broken brokenRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.brokenRequests[id]) < maxBrokenPerEndpoint {
-		s.brokenRequests[id] = append(s.brokenRequests[id], inFlight)
+	if broken.Crash = s.crashID(id); len(s.brokenRequests[id]) < maxBrokenPerEndpoint {
+		s.brokenRequests[id] = append(s.brokenRequests[id], broken)
 	}
 }
 
@@ -51,11 +63,17 @@
 	delete(s.brokenRequests, id)
 }
 
-// recordCompleted records that a request has completed.
-func (s *state) recordCompleted(fingerprint ident.Fingerprint) {
+// recordCompleted records that a request has completed. generated reports whether the endpoint has
+// generated output for it.
+func (s *state) recordCompleted(f *inflight, generated bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspects.RecordCompletion(s.clock.Now(), fingerprint)
+	now := s.clock.Now()
+	s.suspects.RecordCompletion(now, f.fingerprint)
+	if generated {
+		s.parts.RecordCompletion(now, f.parts, f.route.HomeRegions)
+		s.logRefusedParts(now)
+	}
 }
 
 // recordUnreachable records that an endpoint whose connections broke cannot be reached.
@@ -68,12 +86,39 @@
 // recordCrash distributes the suspicion among the requests that were running on a crashed
 // endpoint. The lock must be held.
 func (s *state) recordCrash(now clock.Time, id ident.Endpoint) {
-	inFlight := s.brokenRequests[id]
+	broken := s.brokenRequests[id]
 	delete(s.brokenRequests, id)
-	if len(inFlight) == 0 {
+	if len(broken) == 0 {
 		return
 	}
+	inFlight := make([]crash.InFlightRequest, 0, len(broken))
+	for _, b := range broken {
+		inFlight = append(inFlight, b.InFlightRequest)
+	}
 	reports := s.suspects.RecordEndpointCrash(now, inFlight)
+	s.parts.RecordCrash(now, inFlight)
+	starting, ids, parts := startingRequests(broken)
 	s.log.Warn("endpoint crashed", zap.String("endpoint", string(id)), zap.Int("requests", len(inFlight)),
-		zap.Int("suspects", len(reports)))
+		zap.Int("suspects", len(reports)), zap.Int("starting", starting), zap.Strings("ids", ids), zap.Strings("parts", parts))
+	s.logRefusedParts(now)
+}
+
+// startingRequests returns the number of requests that had no output yet or only just had the first,
+// and for the log the ids and the shareable prompt parts of some of them.
+func startingRequests(broken []brokenRequest) (count int, ids, parts []string) {
+	for _, b := range broken {
+		if !b.Starting {
+			continue
+		}
+		count++
+		if len(ids) < maxLoggedSuspects {
+			ids = append(ids, b.attemptID)
+		}
+		for _, part := range b.Parts {
+			if name := partName(part); len(parts) < maxLoggedSuspects && !slices.Contains(parts, name) {
+				parts = append(parts, name)
+			}
+		}
+	}
+	return count, ids, parts
 }
