feat(gate,pool): obey an endpoint that says in an answer that it leaves

Requests still reached an endpoint after it had said in its answers that it leaves, until the list of endpoints said so too, and for as long as the store was away.

Cause: the header was not read. Beside, an entry without an incarnation between two entries of the same process counted as a restart, and a departure in the list was forgotten while the entry was missing.

The pool keeps the statement by process, so that neither the list nor a health check takes it back, but a new incarnation does. Right before a request is written the relay asks again, and a request that is withheld goes elsewhere without a further charge to the retry budget. If all endpoints of a service say so, callers go to another region or are refused at once with a time to retry.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -93,6 +93,9 @@
 func (a *attempt) handleFailure(ctx context.Context, err error) result {
 	inflight := a.inflight
 	kind := fault.KindOf[relay.Kind](err)
+	if kind == relay.KindWithheld {
+		return a.withdraw()
+	}
 	unsent := kind == relay.KindUnsent
 	if !unsent {
 		inflight.mayHaveRun = true
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -141,6 +141,10 @@
 	ColdRemaining clock.Span
 	Load          pool.Load
 	HasLoad       bool
+	// Leaving reports whether the endpoint says that it leaves. MalformedLeaving is the start of a value
+	// that is no such statement, or empty.
+	Leaving          bool
+	MalformedLeaving string
 }
 
 // Paths are the URL paths on which an instance serves the platform's calls.
--- a/gate/health.go
+++ b/gate/health.go
@@ -56,7 +56,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout.Duration())
 	defer cancel()
-	check, err := s.requestHealth(ctx, info.Address, backend.Health, info.ID)
+	check, meta, err := s.requestHealth(ctx, info.Address, backend.Health, info.ID)
+	if check.SameEndpoint {
+		s.state.recordStatement(info.Process(), meta, zap.Bool("check", true))
+	}
 	s.state.withPool(func(p *pool.Pool, now clock.Time) { p.RecordCheck(now, info.ID, check) })
 	if err != nil {
 		if fault.KindOf[relay.Kind](err) == relay.KindUnsent && ctx.Err() == nil {
@@ -82,17 +85,17 @@
 	return relay.MatchOwn
 }
 
-func (s *Server) requestHealth(ctx context.Context, address, path string, id ident.Endpoint) (pool.Check, error) {
+func (s *Server) requestHealth(ctx context.Context, address, path string, id ident.Endpoint) (check pool.Check, meta ResponseMeta, err error) {
 	response, err := s.state.relay(address).Do(ctx, &relay.Request{
 		Method: http.MethodGet, URI: path, Host: address, Header: http.Header{}, Match: s.matchHealthResponse,
 	}, repeatableConnIdle)
 	if err != nil {
-		return pool.Check{}, err
+		return pool.Check{}, ResponseMeta{}, err
 	}
 	defer response.Close()
 	if _, err := response.ReadAll(maxHealthBodyBytes); err != nil {
-		return pool.Check{}, err
+		return pool.Check{}, ResponseMeta{}, err
 	}
-	parsed := s.protocol.ResponseMeta(response.StatusCode, response.Header)
-	return pool.Check{Healthy: response.StatusCode == http.StatusOK, SameEndpoint: parsed.Endpoint == id, ColdRemaining: parsed.ColdRemaining}, nil
+	meta = s.protocol.ResponseMeta(response.StatusCode, response.Header)
+	return pool.Check{Healthy: response.StatusCode == http.StatusOK, SameEndpoint: meta.Endpoint == id, ColdRemaining: meta.ColdRemaining}, meta, nil
 }
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -68,6 +68,8 @@
 	// request.
 	sends int
 	runs  int
+	// charged reports whether the next send has been charged to the retry budget already.
+	charged bool
 	// mayHaveRun reports whether the request may have run.
 	mayHaveRun   bool
 	excludedHops []string
@@ -108,6 +110,8 @@
 	wait   clock.Span
 	cost   clock.Span
 	reason string
+	// blocked reports whether waiting for another destination is useless.
+	blocked bool
 }
 
 // run sends the request until it is answered or has to be given up.
@@ -122,7 +126,7 @@
 		}
 		target, ok := f.chooseDestination()
 		if !ok {
-			if f.mayWait() && clock.Sleep(ctx, chooseInterval) {
+			if !target.blocked && f.mayWait() && clock.Sleep(ctx, chooseInterval) {
 				continue
 			}
 			f.giveUp(target)
@@ -200,8 +204,7 @@
 		}
 	}
 	if !found {
-		best.reason = "no endpoint"
-		return best, false
+		return f.noDestination(plan), false
 	}
 	if best.wait > 0 && best.delay > f.route.TargetLatency*maxDelayPercent/100 {
 		best.reason = "overload"
@@ -210,9 +213,25 @@
 	return best, true
 }
 
+// noDestination returns why there is no destination for the request.
+func (f *inflight) noDestination(plan pool.Plan) destination {
+	var block pool.Block
+	if f.route.Allows(f.server.settings.Region) {
+		f.server.state.withPool(func(p *pool.Pool, _ clock.Time) { block = p.Blocked(plan.Request) })
+	}
+	if block == pool.BlockNone {
+		return destination{reason: "no endpoint"}
+	}
+	return destination{reason: string(block), wait: leavingRetryAfter, blocked: true}
+}
+
 // withinRetryBudget records the send and reports whether the retry budget allows it. The first
 // send of a request from another instance has been counted there.
 func (f *inflight) withinRetryBudget() bool {
+	if f.charged {
+		f.charged = false
+		return true
+	}
 	if f.sends == 0 && f.hopped {
 		return true
 	}
@@ -293,7 +312,7 @@
 	}
 	return &relay.Request{
 		Method: f.request.Method, URI: f.request.RequestURI, Host: f.request.Host, Header: header, Body: f.body,
-		Match: f.matchResponse,
+		Match: f.matchResponse, Proceed: current.maySend,
 	}
 }
 
--- /dev/null
+++ b/gate/statement.go
@@ -0,0 +1,59 @@
+package gate
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/pool"
+)
+
+// leavingRetryAfter is when a caller is asked to retry if all endpoints leave: nothing tells when others
+// take their place.
+const leavingRetryAfter = clock.Second
+
+// recordStatement records what an endpoint says about itself in a response. A response of another
+// instance says nothing about an endpoint that this one knows, and one of a moved address comes from
+// another endpoint.
+func (a *attempt) recordStatement(response ResponseMeta) {
+	if a.send == nil || response.Moved || response.Endpoint != "" && response.Endpoint != a.destination.local.Endpoint {
+		return
+	}
+	a.inflight.server.state.recordStatement(a.send.Process(), response, zap.String("request", a.inflight.meta.AttemptID))
+}
+
+// recordStatement passes what a process says about itself to the pool and logs what is new. source
+// names the answer.
+func (s *state) recordStatement(from pool.Process, response ResponseMeta, source zap.Field) {
+	statement := pool.Statement{Leaving: response.Leaving, Malformed: response.MalformedLeaving != ""}
+	if statement == (pool.Statement{}) {
+		return
+	}
+	var news pool.News
+	s.withPool(func(p *pool.Pool, _ clock.Time) { news = p.RecordStatement(from, statement) })
+	log := s.log.With(zap.String("endpoint", string(from.ID)), zap.Int64("incarnation", from.Incarnation), source)
+	if news.Leaving {
+		s.metrics.leavings.Inc(1)
+		log.Info("endpoint says it leaves")
+	}
+	if news.Malformed {
+		log.Warn("malformed statement of endpoint", zap.String("value", response.MalformedLeaving))
+	}
+}
+
+// maySend reports whether the endpoint of the send still takes requests.
+func (a *attempt) maySend() (ok bool) {
+	if a.send == nil {
+		return true
+	}
+	a.inflight.server.state.withPool(func(p *pool.Pool, _ clock.Time) { ok = p.MaySend(a.send) })
+	return ok
+}
+
+// withdraw takes back a send that has not been written because its endpoint takes no more requests. The
+// next send is not charged to the retry budget again.
+func (a *attempt) withdraw() result {
+	a.inflight.sends--
+	a.inflight.charged = true
+	a.recordEnd(pool.Cancelled)
+	return resultRetry
+}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -183,7 +183,7 @@
 	}
 	var highestHash [2]uint64
 	for _, e := range endpoints {
-		if e.Leaving || e.delisted || len(homeRegions) > 0 && !slices.Contains(homeRegions, e.Region) {
+		if e.leaving() || e.delisted || len(homeRegions) > 0 && !slices.Contains(homeRegions, e.Region) {
 			continue
 		}
 		hash := mixHash(key ^ e.idHash)
@@ -267,7 +267,7 @@
 	} else {
 		p.active[target.ID] = target
 	}
-	send := &Send{endpoint: target, request: request, choice: choice, started: now}
+	send := &Send{endpoint: target, request: request, choice: choice, started: now, incarnation: target.Incarnation}
 	target.sends[send] = struct{}{}
 	if request.Engine {
 		target.prefillBacklog[clampPriority(request.Priority)] += choice.UncachedTokens
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -25,6 +25,8 @@
 	Info
 	// idHash is the hash of the id.
 	idHash uint64
+	// standings holds what each known process of the endpoint has said about itself, by incarnation.
+	standings map[int64]standing
 	// delisted reports whether the endpoint has been removed from the published list.
 	delisted bool
 	// missingSince is when the endpoint was removed from the list; 0 if it is listed.
@@ -70,7 +72,9 @@
 	request  Request
 	choice   Choice
 	started  clock.Time
-	answered bool
+	// incarnation is that of the endpoint when the send began.
+	incarnation int64
+	answered    bool
 }
 
 func newEndpoint(info Info) *endpoint {
@@ -121,5 +125,5 @@
 
 // usable reports whether the endpoint may get requests.
 func (e *endpoint) usable(now clock.Time) bool {
-	return !e.delisted && !e.Leaving && !e.needsCheck && !now.Before(e.ejectedUntil)
+	return !e.delisted && !e.leaving() && !e.needsCheck && !now.Before(e.ejectedUntil)
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -154,12 +154,20 @@
 		p.endpoints[info.ID] = known
 		return "added"
 	}
+	if info.Incarnation == 0 {
+		info.Incarnation = known.Incarnation
+	}
+	forgotten := known.delisted && known.Incarnation == 0
+	if forgotten {
+		known.standings = nil // nothing tells whether this is still the same process
+	}
 	kind := ""
 	switch {
-	case known.Incarnation != info.Incarnation && info.Incarnation != 0:
+	case known.Incarnation != info.Incarnation:
 		kind = Restarted
 		restarted := newEndpoint(info)
 		restarted.sends, restarted.prefillBacklog, restarted.memoryTokens = known.sends, known.prefillBacklog, known.memoryTokens
+		restarted.standings = known.standings
 		*known = *restarted
 	case known.delisted:
 		kind = "back"
@@ -170,7 +178,7 @@
 		known.cache.clear()
 	}
 	// An endpoint that is leaving stays so even if an older entry is read afterwards.
-	info.Leaving = info.Leaving || known.Leaving && known.Incarnation == info.Incarnation && !known.delisted
+	info.Leaving = info.Leaving || known.Leaving && known.Incarnation == info.Incarnation && !forgotten
 	known.Info, known.delisted, known.missingSince = info, false, 0
 	if info.ColdRemaining > 0 {
 		known.coldUntil = now.Add(info.ColdRemaining)
@@ -340,7 +348,7 @@
 func (p *Pool) DueChecks(now clock.Time) (due []Info) {
 	for _, s := range p.services {
 		for _, e := range s.regional {
-			if e.needsCheck && !e.Leaving && now.Sub(e.lastChecked) >= healthCheckInterval {
+			if e.needsCheck && !e.leaving() && now.Sub(e.lastChecked) >= healthCheckInterval {
 				e.lastChecked = now
 				due = append(due, e.Info)
 			}
--- a/pool/zone.go
+++ b/pool/zone.go
@@ -116,7 +116,7 @@
 func (p *Pool) endpointsIn(zone ident.Zone) (found []*endpoint) {
 	for _, s := range p.services {
 		for _, e := range s.regional {
-			if e.Zone == zone && !e.Leaving {
+			if e.Zone == zone && !e.leaving() {
 				found = append(found, e)
 			}
 		}
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -19,6 +19,8 @@
 const (
 	// KindUnsent says that no byte of the request was sent, so that it was not run.
 	KindUnsent Kind = "unsent"
+	// KindWithheld says that Request.Proceed stopped the request before any byte of it was sent.
+	KindWithheld Kind = "withheld"
 	// KindBroken says that the connection ended; a request that was sent may have been run.
 	KindBroken Kind = "broken"
 	// KindMalformed says that what arrived is no response to the request.
@@ -41,6 +43,9 @@
 	// Match tells from the header of a response whether it answers this request. An endpoint may first
 	// send another copy of an earlier response; nil accepts any response.
 	Match func(http.Header) Match
+	// Proceed is called once there is a connection, right before the request is written, and reports
+	// whether it may be; nil always lets it.
+	Proceed func() bool
 }
 
 // Match is the relation of a response to a request.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -137,7 +137,8 @@
 // Do sends a request and returns the response header; the caller must close the EndpointResponse.
 // Only connections that have been idle for at most maxIdle are reused. When ctx ends, the
 // connection is closed at any stage of the exchange, which lets the endpoint stop its work. Errors
-// have kind KindUnsent if the request was certainly not run.
+// have kind KindUnsent if the request was certainly not run, or KindWithheld if Request.Proceed
+// stopped it.
 func (p *Pool) Do(ctx context.Context, request *Request, maxIdle time.Duration) (*EndpointResponse, error) {
 	connection, err := p.take(ctx, maxIdle)
 	if err != nil {
@@ -147,6 +148,10 @@
 		p.put(connection)
 		return nil, fault.Wrap("send", KindUnsent, err)
 	}
+	if request.Proceed != nil && !request.Proceed() {
+		p.put(connection)
+		return nil, fault.New("send", KindWithheld)
+	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	fail := func(err error) (*EndpointResponse, error) {
 		stopCancel()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -232,3 +232,26 @@
 		t.Fatal("the connection was not closed")
 	}
 }
+
+// Guards against a request that is written although its sender has found meanwhile that the endpoint takes no
+// more requests, and against a connection that is lost by that.
+func TestRequestIsWithheld(t *testing.T) {
+	var received atomic.Int64
+	address, connections := endpoint(t, func(_ int, _ *http.Request, c net.Conn) bool {
+		received.Add(1)
+		return writeLines(c, okResponse("1", "one"))
+	})
+	pool := relay.NewPool(relay.Config{Address: address})
+	t.Cleanup(pool.Close)
+	withheld := request("GET", nil)
+	withheld.Proceed = func() bool { return false }
+	_, err := pool.Do(t.Context(), withheld, time.Minute)
+	require.Equal(t, relay.KindWithheld, fault.KindOf[relay.Kind](err))
+	allowed := request("GET", nil)
+	allowed.Proceed = func() bool { return true }
+	response, err := pool.Do(t.Context(), allowed, time.Minute)
+	require.NoError(t, err)
+	response.Close()
+	require.EqualValues(t, 1, received.Load())
+	require.EqualValues(t, 1, connections.Load())
+}
