feat(gate,pool): give an endpoint the pause that it asks for in a refusal

An endpoint that refused a request with Retry-After got further requests and health checks 60 ms later. Callers waited for an eighth of the target although every endpoint had asked for a pause, and were told 150 ms.

Cause: Retry-After of an endpoint was not read.

Until then the process gets no requests and no health checks and is no capacity for other regions. Afterwards the instances of the region take turns, and each sends one request first and more as answers come. If all endpoints leave or pause, the request goes to another region or is refused at once with the time until the first one returns. The pause and its end are logged and counted. Without Retry-After the backoff of 60 ms stays, and so does the retry budget.

The tests of pool use new functions and do not compile before.

--- a/gate/doc.go
+++ b/gate/doc.go
@@ -145,6 +145,8 @@
 	// that is no such statement, or empty.
 	Leaving          bool
 	MalformedLeaving string
+	// Pause is how long an endpoint that refuses the request wants no further ones; 0 is no statement.
+	Pause clock.Span
 }
 
 // Paths are the URL paths on which an instance serves the platform's calls.
--- a/gate/health.go
+++ b/gate/health.go
@@ -38,7 +38,11 @@
 // startHealthChecks starts the health checks that are due.
 func (s *Server) startHealthChecks(ctx context.Context) {
 	var due []pool.Info
-	s.state.withPool(func(p *pool.Pool, now clock.Time) { due = p.DueChecks(now) })
+	var ended []pool.Process
+	s.state.withPool(func(p *pool.Pool, now clock.Time) { due, ended = p.DueChecks(now), p.EndedPauses(now) })
+	for _, process := range ended {
+		s.log.Info("pause of endpoint ended", zap.String("endpoint", string(process.ID)), zap.Int64("incarnation", process.Incarnation))
+	}
 	for _, i := range due {
 		go s.checkEndpoint(ctx, i)
 	}
@@ -57,6 +61,9 @@
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout.Duration())
 	defer cancel()
 	check, meta, err := s.requestHealth(ctx, info.Address, backend.Health, info.ID)
+	if fault.KindOf[relay.Kind](err) == relay.KindWithheld {
+		return
+	}
 	if check.SameEndpoint {
 		s.state.recordStatement(info.Process(), meta, zap.Bool("check", true))
 	}
@@ -86,8 +93,12 @@
 }
 
 func (s *Server) requestHealth(ctx context.Context, address, path string, id ident.Endpoint) (check pool.Check, meta ResponseMeta, err error) {
+	proceed := func() (ok bool) {
+		s.state.withPool(func(p *pool.Pool, now clock.Time) { ok = p.MayCheck(now, id) })
+		return ok
+	}
 	response, err := s.state.relay(address).Do(ctx, &relay.Request{
-		Method: http.MethodGet, URI: path, Host: address, Header: http.Header{}, Match: s.matchHealthResponse,
+		Method: http.MethodGet, URI: path, Host: address, Header: http.Header{}, Match: s.matchHealthResponse, Proceed: proceed,
 	}, repeatableConnIdle)
 	if err != nil {
 		return pool.Check{}, ResponseMeta{}, err
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -216,13 +216,18 @@
 // noDestination returns why there is no destination for the request.
 func (f *inflight) noDestination(plan pool.Plan) destination {
 	var block pool.Block
+	var after clock.Span
 	if f.route.Allows(f.server.settings.Region) {
-		f.server.state.withPool(func(p *pool.Pool, _ clock.Time) { block = p.Blocked(plan.Request) })
+		f.server.state.withPool(func(p *pool.Pool, now clock.Time) { block, after = p.Blocked(now, plan.Request) })
 	}
-	if block == pool.BlockNone {
+	switch block {
+	case pool.BlockLeaving:
+		return destination{reason: string(block), wait: leavingRetryAfter, blocked: true}
+	case pool.BlockPaused:
+		return destination{reason: string(block), wait: after, blocked: after > f.route.TargetLatency/targetWaitDivisor}
+	default:
 		return destination{reason: "no endpoint"}
 	}
-	return destination{reason: string(block), wait: leavingRetryAfter, blocked: true}
 }
 
 // withinRetryBudget records the send and reports whether the retry budget allows it. The first
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -26,6 +26,8 @@
 	panics gometrics.Counter
 	// leavings counts the endpoints that have said in an answer that they leave.
 	leavings gometrics.Counter
+	// pauses counts the pauses that endpoints have asked for.
+	pauses gometrics.Counter
 	// syncBytes counts the bytes of store data that are sent to other instances.
 	syncBytes gometrics.Counter
 	// meshBytes counts the bytes of datagrams that are sent to other instances.
@@ -36,7 +38,7 @@
 	counter := func(name string) gometrics.Counter { return gometrics.NewRegisteredCounter(name, registry) }
 	return &metrics{
 		registry: registry, connections: counter("endpoint.connections"), storeFailures: counter("store.failures"),
-		active: counter("requests.active"), syncBytes: counter("sync.bytes"), panics: counter("panics"), leavings: counter("endpoint.leavings"), meshBytes: counter("mesh.bytes"),
+		active: counter("requests.active"), syncBytes: counter("sync.bytes"), panics: counter("panics"), leavings: counter("endpoint.leavings"), pauses: counter("endpoint.pauses"), meshBytes: counter("mesh.bytes"),
 	}
 }
 
--- a/gate/statement.go
+++ b/gate/statement.go
@@ -24,17 +24,21 @@
 // recordStatement passes what a process says about itself to the pool and logs what is new. source
 // names the answer.
 func (s *state) recordStatement(from pool.Process, response ResponseMeta, source zap.Field) {
-	statement := pool.Statement{Leaving: response.Leaving, Malformed: response.MalformedLeaving != ""}
+	statement := pool.Statement{Leaving: response.Leaving, Pause: response.Pause, Malformed: response.MalformedLeaving != ""}
 	if statement == (pool.Statement{}) {
 		return
 	}
 	var news pool.News
-	s.withPool(func(p *pool.Pool, _ clock.Time) { news = p.RecordStatement(from, statement) })
+	s.withPool(func(p *pool.Pool, now clock.Time) { news = p.RecordStatement(now, from, statement) })
 	log := s.log.With(zap.String("endpoint", string(from.ID)), zap.Int64("incarnation", from.Incarnation), source)
 	if news.Leaving {
 		s.metrics.leavings.Inc(1)
 		log.Info("endpoint says it leaves")
 	}
+	if news.Paused {
+		s.metrics.pauses.Inc(1)
+		log.Info("endpoint asked for a pause", zap.Int64("pause", int64(statement.Pause)))
+	}
 	if news.Malformed {
 		log.Warn("malformed statement of endpoint", zap.String("value", response.MalformedLeaving))
 	}
@@ -45,7 +49,7 @@
 	if a.send == nil {
 		return true
 	}
-	a.inflight.server.state.withPool(func(p *pool.Pool, _ clock.Time) { ok = p.MaySend(a.send) })
+	a.inflight.server.state.withPool(func(p *pool.Pool, now clock.Time) { ok = p.MaySend(now, a.send) })
 	return ok
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -146,7 +146,7 @@
 }
 
 func (p *Pool) eligible(now clock.Time, candidate *endpoint, request Request) bool {
-	if !candidate.usable(now) || p.evacuated[candidate.Zone] || now.Before(candidate.fullUntil) || slices.Contains(request.ExcludedEndpoints, candidate.ID) {
+	if !candidate.usable(now) || p.evacuated[candidate.Zone] || now.Before(candidate.fullUntil) || !candidate.mayTry() || slices.Contains(request.ExcludedEndpoints, candidate.ID) {
 		return false
 	}
 	if request.MaxConnections > 0 && len(candidate.sends) >= p.connectionLimit(request) {
@@ -269,6 +269,7 @@
 	}
 	send := &Send{endpoint: target, request: request, choice: choice, started: now, incarnation: target.Incarnation}
 	target.sends[send] = struct{}{}
+	target.beginTrial(send)
 	if request.Engine {
 		target.prefillBacklog[clampPriority(request.Priority)] += choice.UncachedTokens
 		target.memoryTokens += choice.UncachedTokens + request.MaxOutputTokens
@@ -288,6 +289,7 @@
 	send.answered = true
 	target := send.endpoint
 	p.recordZoneAnswer(target)
+	target.endTrial(send, true)
 	if send.request.Engine {
 		target.prefillBacklog[clampPriority(send.request.Priority)] -= send.choice.UncachedTokens
 	}
@@ -319,6 +321,7 @@
 		return
 	}
 	delete(target.sends, send)
+	target.endTrial(send, outcome == Complete || outcome == Failed)
 	if len(target.sends) == 0 && p.active[target.ID] == target {
 		delete(p.active, target.ID)
 	}
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -27,6 +27,10 @@
 	idHash uint64
 	// standings holds what each known process of the endpoint has said about itself, by incarnation.
 	standings map[int64]standing
+	// trialLimit bounds the sends in progress that began after a pause, until the endpoint has answered
+	// enough of them; 0 is no bound. trials is their number.
+	trialLimit int
+	trials     int
 	// delisted reports whether the endpoint has been removed from the published list.
 	delisted bool
 	// missingSince is when the endpoint was removed from the list; 0 if it is listed.
@@ -75,6 +79,10 @@
 	// incarnation is that of the endpoint when the send began.
 	incarnation int64
 	answered    bool
+	// trial reports whether the send counts in endpoint.trials.
+	trial bool
+	// excess reports whether the send began although as many trials as allowed were in progress.
+	excess bool
 }
 
 func newEndpoint(info Info) *endpoint {
@@ -125,5 +133,5 @@
 
 // usable reports whether the endpoint may get requests.
 func (e *endpoint) usable(now clock.Time) bool {
-	return !e.delisted && !e.leaving() && !e.needsCheck && !now.Before(e.ejectedUntil)
+	return !e.delisted && !e.leaving() && !e.paused(now) && !e.needsCheck && !now.Before(e.ejectedUntil)
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -48,6 +48,8 @@
 	active map[ident.Endpoint]*endpoint
 	// peerReports holds the endpoints of the last report of each other instance.
 	peerReports map[ident.Entry][]*endpoint
+	// pauses holds the processes that have asked for a pause, with its end.
+	pauses map[Process]clock.Time
 	// members are the instances of the region that divide cold endpoints and connections among
 	// themselves, including this one.
 	members []ident.Entry
@@ -82,7 +84,7 @@
 	return &Pool{
 		config: config, endpoints: make(map[ident.Endpoint]*endpoint), services: make(map[ident.Service]*serviceState), zones: make(map[ident.Zone]*zoneState),
 		evacuated: make(map[ident.Zone]bool), rotation: config.Seed, missing: make(map[ident.Endpoint]*endpoint),
-		active: make(map[ident.Endpoint]*endpoint), peerReports: make(map[ident.Entry][]*endpoint),
+		active: make(map[ident.Endpoint]*endpoint), peerReports: make(map[ident.Entry][]*endpoint), pauses: make(map[Process]clock.Time),
 	}
 }
 
@@ -348,7 +350,7 @@
 func (p *Pool) DueChecks(now clock.Time) (due []Info) {
 	for _, s := range p.services {
 		for _, e := range s.regional {
-			if e.needsCheck && !e.leaving() && now.Sub(e.lastChecked) >= healthCheckInterval {
+			if e.needsCheck && !e.leaving() && !e.paused(now) && now.Sub(e.lastChecked) >= healthCheckInterval {
 				e.lastChecked = now
 				due = append(due, e.Info)
 			}
--- a/pool/statement.go
+++ b/pool/statement.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 )
 
@@ -20,13 +21,17 @@
 type Statement struct {
 	// Leaving reports whether the endpoint wants no further requests before its next restart.
 	Leaving bool
+	// Pause is how long the endpoint wants no requests from this instance; 0 is no statement.
+	Pause clock.Span
 	// Malformed reports whether a part of the statement could not be parsed.
 	Malformed bool
 }
 
 // News tells which parts of a statement were not known before.
 type News struct {
-	Leaving   bool
+	Leaving bool
+	// Paused reports whether a pause has begun; a later end of one is no news.
+	Paused    bool
 	Malformed bool
 }
 
@@ -34,6 +39,8 @@
 type standing struct {
 	leaving   bool
 	malformed bool
+	// pausedUntil is when the endpoint may get requests again, by its own word and in this instance's turn.
+	pausedUntil clock.Time
 }
 
 // standing returns what the current process of the endpoint has said.
@@ -74,25 +81,44 @@
 
 // RecordStatement records what a process has said in an answer and returns what was not known before.
 // A process that has said that it leaves can't take that back.
-func (p *Pool) RecordStatement(from Process, statement Statement) (news News) {
+func (p *Pool) RecordStatement(now clock.Time, from Process, statement Statement) News {
 	known := p.endpoints[from.ID]
 	if known == nil {
 		return News{}
 	}
 	said := known.standings[from.Incarnation]
-	news = News{Leaving: statement.Leaving && !said.leaving, Malformed: statement.Malformed && !said.malformed}
-	if news == (News{}) {
-		return news
-	}
+	before := said
+	until := p.returnTime(now, known, statement.Pause)
 	said.leaving = said.leaving || statement.Leaving
 	said.malformed = said.malformed || statement.Malformed
+	said.pausedUntil = max(said.pausedUntil, until)
+	if said == before {
+		return News{}
+	}
 	known.setStanding(from.Incarnation, said)
-	return news
+	if said.pausedUntil > before.pausedUntil {
+		p.pauses[from] = said.pausedUntil
+		if from.Incarnation == known.Incarnation {
+			known.trialLimit = 1
+		}
+	}
+	return News{
+		Leaving: said.leaving && !before.leaving, Malformed: said.malformed && !before.malformed,
+		Paused: said.pausedUntil > before.pausedUntil && !now.Before(before.pausedUntil),
+	}
 }
 
 // MaySend reports whether the endpoint of a send that has begun still takes requests. It is called
 // right before the request is written.
-func (p *Pool) MaySend(send *Send) bool { return !send.endpoint.leaving() }
+func (p *Pool) MaySend(now clock.Time, send *Send) bool {
+	return !send.excess && !send.endpoint.leaving() && !send.endpoint.paused(now)
+}
+
+// MayCheck is the same for a health check.
+func (p *Pool) MayCheck(now clock.Time, id ident.Endpoint) bool {
+	known := p.endpoints[id]
+	return known != nil && !known.leaving() && !known.paused(now)
+}
 
 // Block tells why no endpoint of the region takes a request.
 type Block string
@@ -103,20 +129,29 @@
 	BlockNone Block = ""
 	// BlockLeaving: all endpoints that could serve the request leave, at least one by its own word.
 	BlockLeaving Block = "endpoints leaving"
+	// BlockPaused: all of them leave or have asked for a pause, at least one for a pause.
+	BlockPaused Block = "endpoints paused"
 )
 
 // Blocked tells whether waiting for an endpoint of the region is useless because all that could serve
-// the request have said so.
-func (p *Pool) Blocked(request Request) Block {
-	block := BlockNone
+// the request have said so, and after what time the first of them takes requests again if that is known.
+func (p *Pool) Blocked(now clock.Time, request Request) (block Block, after clock.Span) {
 	for _, e := range p.service(request.Service).regional {
 		excluded := p.evacuated[e.Zone] || slices.Contains(request.ExcludedEndpoints, e.ID)
 		switch {
 		case e.standing().leaving:
-			block = BlockLeaving
+			if block == BlockNone {
+				block = BlockLeaving
+			}
+		case !e.Leaving && !p.evacuated[e.Zone] && e.paused(now):
+			left := e.standing().pausedUntil.Sub(now)
+			if block != BlockPaused || left < after {
+				after = left
+			}
+			block = BlockPaused
 		case !e.Leaving && !excluded:
-			return BlockNone
+			return BlockNone, 0
 		}
 	}
-	return block
+	return block, after
 }
--- a/pool/statement_test.go
+++ b/pool/statement_test.go
@@ -19,7 +19,7 @@
 }
 
 func sayLeaving(p *pool.Pool, entry pool.Info) pool.News {
-	return p.RecordStatement(entry.Process(), pool.Statement{Leaving: true})
+	return p.RecordStatement(start, entry.Process(), pool.Statement{Leaving: true})
 }
 
 // Guards against an endpoint that has said that it leaves and gets requests again without a restart,
@@ -77,10 +77,10 @@
 	first, ok := choose(p, start, request)
 	require.True(t, ok)
 	send := p.BeginSend(start, request, first)
-	require.True(t, p.MaySend(send))
+	require.True(t, p.MaySend(start, send))
 	require.Equal(t, 8, p.Summaries(start)[0].Slots)
-	p.RecordStatement(send.Process(), pool.Statement{Leaving: true})
-	require.False(t, p.MaySend(send), "chosen before, not written yet")
+	p.RecordStatement(start, send.Process(), pool.Statement{Leaving: true})
+	require.False(t, p.MaySend(start, send), "chosen before, not written yet")
 	p.EndSend(start, send, pool.Broken)
 	require.Equal(t, 4, p.Summaries(start)[0].Slots)
 	for range 20 {
@@ -123,7 +123,8 @@
 			}
 			request := plainRequest
 			request.ExcludedEndpoints = c.excluded
-			require.Equal(t, c.want, p.Blocked(request))
+			block, _ := p.Blocked(start, request)
+			require.Equal(t, c.want, block)
 		})
 	}
 }
@@ -162,7 +163,7 @@
 				p.Update(now, now, nil, []ident.Endpoint{entry.ID})
 			case 3:
 				if current, ok := listed[entry.ID]; ok {
-					p.RecordStatement(current.Process(), pool.Statement{Leaving: true})
+					p.RecordStatement(now, current.Process(), pool.Statement{Leaving: true})
 					said[current.Process()] = true
 				}
 			case 4:
@@ -170,7 +171,7 @@
 			}
 			if choice, ok := choose(p, now, plainRequest); ok {
 				send := p.BeginSend(now, plainRequest, choice)
-				if said[send.Process()] || !p.MaySend(send) {
+				if said[send.Process()] || !p.MaySend(now, send) {
 					t.Fatalf("%v got a request after it said that it leaves", send.Process())
 				}
 				p.EndSend(now, send, pool.Complete)
--- a/pool/zone.go
+++ b/pool/zone.go
@@ -105,18 +105,18 @@
 		}
 		zone.nextCheck = now.Add(zoneCheckInterval)
 		p.rotation++
-		if candidates := p.endpointsIn(name); len(candidates) > 0 {
+		if candidates := p.endpointsIn(now, name); len(candidates) > 0 {
 			due = append(due, candidates[p.rotation%uint64(len(candidates))].Info)
 		}
 	}
 	return due
 }
 
-// endpointsIn returns the endpoints of a zone of the region that are not leaving.
-func (p *Pool) endpointsIn(zone ident.Zone) (found []*endpoint) {
+// endpointsIn returns the endpoints of a zone of the region that are neither leaving nor paused.
+func (p *Pool) endpointsIn(now clock.Time, zone ident.Zone) (found []*endpoint) {
 	for _, s := range p.services {
 		for _, e := range s.regional {
-			if e.Zone == zone && !e.leaving() {
+			if e.Zone == zone && !e.leaving() && !e.paused(now) {
 				found = append(found, e)
 			}
 		}
