--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -113,6 +113,9 @@
 func (a *attempt) handleFailure(ctx context.Context, err error) result {
 	inflight := a.inflight
 	kind := fault.KindOf[relay.Kind](err)
+	if kind == relay.KindWithheld {
+		return a.withdraw()
+	}
 	unsent := kind == relay.KindUnsent
 	if !unsent {
 		inflight.mayHaveRun = true
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -141,6 +141,12 @@
 	ColdRemaining clock.Span
 	Load          pool.Load
 	HasLoad       bool
+	// Leaving reports whether the endpoint says that it leaves. MalformedLeaving is the start of a value
+	// that is no such statement, or empty.
+	Leaving          bool
+	MalformedLeaving string
+	// Pause is how long an endpoint that refuses the request wants no further ones; 0 is no statement.
+	Pause clock.Span
 }
 
 // Paths are the URL paths on which an instance serves the platform's calls.
--- a/gate/health.go
+++ b/gate/health.go
@@ -38,7 +38,11 @@
 // startHealthChecks starts the health checks that are due.
 func (s *Server) startHealthChecks(ctx context.Context) {
 	var due []pool.Info
-	s.state.withPool(func(p *pool.Pool, now clock.Time) { due = p.DueChecks(now) })
+	var ended []pool.Process
+	s.state.withPool(func(p *pool.Pool, now clock.Time) { due, ended = p.DueChecks(now), p.EndedPauses(now) })
+	for _, process := range ended {
+		s.log.Info("pause of endpoint ended", zap.String("endpoint", string(process.ID)), zap.Int64("incarnation", process.Incarnation))
+	}
 	for _, i := range due {
 		go s.checkEndpoint(ctx, i)
 	}
@@ -56,7 +60,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout.Duration())
 	defer cancel()
-	check, err := s.requestHealth(ctx, info.Address, backend.Health, info.ID)
+	check, meta, err := s.requestHealth(ctx, info.Address, backend.Health, info.ID)
+	if fault.KindOf[relay.Kind](err) == relay.KindWithheld {
+		return
+	}
+	if check.SameEndpoint {
+		s.state.recordStatement(info.Process(), meta, zap.Bool("check", true))
+	}
 	s.state.withPool(func(p *pool.Pool, now clock.Time) { p.RecordCheck(now, info.ID, check) })
 	if err != nil {
 		if fault.KindOf[relay.Kind](err) == relay.KindUnsent && ctx.Err() == nil {
@@ -80,17 +90,21 @@
 	return relay.MatchOwn
 }
 
-func (s *Server) requestHealth(ctx context.Context, address, path string, id ident.Endpoint) (pool.Check, error) {
+func (s *Server) requestHealth(ctx context.Context, address, path string, id ident.Endpoint) (check pool.Check, meta ResponseMeta, err error) {
+	proceed := func() (ok bool) {
+		s.state.withPool(func(p *pool.Pool, now clock.Time) { ok = p.MayCheck(now, id) })
+		return ok
+	}
 	response, err := s.state.relay(address).Do(ctx, &relay.Request{
-		Method: http.MethodGet, URI: path, Host: address, Header: http.Header{}, Match: s.matchHealthResponse,
+		Method: http.MethodGet, URI: path, Host: address, Header: http.Header{}, Match: s.matchHealthResponse, Proceed: proceed,
 	}, repeatableConnIdle)
 	if err != nil {
-		return pool.Check{}, err
+		return pool.Check{}, ResponseMeta{}, err
 	}
 	defer response.Close()
 	if _, err := response.ReadAll(maxHealthBodyBytes); err != nil {
-		return pool.Check{}, err
+		return pool.Check{}, ResponseMeta{}, err
 	}
-	parsed := s.protocol.ResponseMeta(response.StatusCode, response.Header)
-	return pool.Check{Healthy: response.StatusCode == http.StatusOK, SameEndpoint: parsed.Endpoint == id, ColdRemaining: parsed.ColdRemaining}, nil
+	meta = s.protocol.ResponseMeta(response.StatusCode, response.Header)
+	return pool.Check{Healthy: response.StatusCode == http.StatusOK, SameEndpoint: meta.Endpoint == id, ColdRemaining: meta.ColdRemaining}, meta, nil
 }
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -26,6 +26,10 @@
 	partRefusals gometrics.Counter
 	// panics counts the panics that were contained.
 	panics gometrics.Counter
+	// leavings counts the endpoints that have said in an answer that they leave.
+	leavings gometrics.Counter
+	// pauses counts the pauses that endpoints have asked for.
+	pauses gometrics.Counter
 	// syncBytes counts the bytes of store data that are sent to other instances.
 	syncBytes gometrics.Counter
 	// meshBytes counts the bytes of datagrams that are sent to other instances.
@@ -40,7 +44,7 @@
 	return &metrics{
 		registry: registry, connections: counter("endpoint.connections"), storeFailures: counter("store.failures"),
 		active: counter("requests.active"), partRefusals: counter("requests.part-refused"), syncBytes: counter("sync.bytes"), panics: counter("panics"), meshBytes: counter("mesh.bytes"),
-		closedInRequest: counter("connections.closed.in_request"),
+		leavings: counter("endpoint.leavings"), pauses: counter("endpoint.pauses"), closedInRequest: counter("connections.closed.in_request"),
 	}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -48,6 +48,8 @@
 	active map[ident.Endpoint]*endpoint
 	// peerReports holds the endpoints of the last report of each other instance.
 	peerReports map[ident.Entry][]*endpoint
+	// pauses holds the processes that have asked for a pause, with its end.
+	pauses map[Process]clock.Time
 	// members are the instances of the region that divide cold endpoints and connections among
 	// themselves, including this one.
 	members []ident.Entry
@@ -82,7 +84,7 @@
 	return &Pool{
 		config: config, endpoints: make(map[ident.Endpoint]*endpoint), services: make(map[ident.Service]*serviceState), zones: make(map[ident.Zone]*zoneState),
 		evacuated: make(map[ident.Zone]bool), rotation: config.Seed, missing: make(map[ident.Endpoint]*endpoint),
-		active: make(map[ident.Endpoint]*endpoint), peerReports: make(map[ident.Entry][]*endpoint),
+		active: make(map[ident.Endpoint]*endpoint), peerReports: make(map[ident.Entry][]*endpoint), pauses: make(map[Process]clock.Time),
 	}
 }
 
@@ -154,12 +156,20 @@
 		p.endpoints[info.ID] = known
 		return "added"
 	}
+	if info.Incarnation == 0 {
+		info.Incarnation = known.Incarnation
+	}
+	forgotten := known.delisted && known.Incarnation == 0
+	if forgotten {
+		known.standings = nil // nothing tells whether this is still the same process
+	}
 	kind := ""
 	switch {
-	case known.Incarnation != info.Incarnation && info.Incarnation != 0:
+	case known.Incarnation != info.Incarnation:
 		kind = Restarted
 		restarted := newEndpoint(info)
 		restarted.sends, restarted.prefillBacklog, restarted.memoryTokens = known.sends, known.prefillBacklog, known.memoryTokens
+		restarted.standings = known.standings
 		*known = *restarted
 	case known.delisted:
 		kind = "back"
@@ -170,7 +180,7 @@
 		known.cache.clear()
 	}
 	// An endpoint that is leaving stays so even if an older entry is read afterwards.
-	info.Leaving = info.Leaving || known.Leaving && known.Incarnation == info.Incarnation && !known.delisted
+	info.Leaving = info.Leaving || known.Leaving && known.Incarnation == info.Incarnation && !forgotten
 	known.Info, known.delisted, known.missingSince = info, false, 0
 	if info.ColdRemaining > 0 {
 		known.coldUntil = now.Add(info.ColdRemaining)
@@ -340,7 +350,7 @@
 func (p *Pool) DueChecks(now clock.Time) (due []Info) {
 	for _, s := range p.services {
 		for _, e := range s.regional {
-			if e.needsCheck && !e.Leaving && now.Sub(e.lastChecked) >= healthCheckInterval {
+			if e.needsCheck && !e.leaving() && !e.paused(now) && now.Sub(e.lastChecked) >= healthCheckInterval {
 				e.lastChecked = now
 				due = append(due, e.Info)
 			}
--- /dev/null
+++ b/pool/statement.go
@@ -0,0 +1,157 @@
+package pool
+
+import (
+	"slices"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// maxStandings bounds the processes of one endpoint whose statements are kept. More than one is kept
+// so that an older entry of the list cannot take back what the newest process has said.
+const maxStandings = 8
+
+// Process identifies one process of an endpoint.
+type Process struct {
+	ID          ident.Endpoint
+	Incarnation int64
+}
+
+// Statement is what an endpoint says about itself in an answer.
+type Statement struct {
+	// Leaving reports whether the endpoint wants no further requests before its next restart.
+	Leaving bool
+	// Pause is how long the endpoint wants no requests from this instance; 0 is no statement.
+	Pause clock.Span
+	// Malformed reports whether a part of the statement could not be parsed.
+	Malformed bool
+}
+
+// News tells which parts of a statement were not known before.
+type News struct {
+	Leaving bool
+	// Paused reports whether a pause has begun; a later end of one is no news.
+	Paused    bool
+	Malformed bool
+}
+
+// standing is what one process of an endpoint has said so far.
+type standing struct {
+	leaving   bool
+	malformed bool
+	// pausedUntil is when the endpoint may get requests again, by its own word and in this instance's turn.
+	pausedUntil clock.Time
+}
+
+// standing returns what the current process of the endpoint has said.
+func (e *endpoint) standing() standing { return e.standings[e.Incarnation] }
+
+// leaving reports whether the endpoint must not get new requests because it leaves, according to the
+// list or to itself.
+func (e *endpoint) leaving() bool { return e.Leaving || e.standing().leaving }
+
+// setStanding keeps what a process has said.
+func (e *endpoint) setStanding(incarnation int64, said standing) {
+	if e.standings == nil {
+		e.standings = make(map[int64]standing)
+	}
+	e.standings[incarnation] = said
+	for len(e.standings) > maxStandings {
+		delete(e.standings, e.oldestStanding(incarnation))
+	}
+}
+
+// oldestStanding returns the oldest process that has said something, apart from the given one and
+// from the current one.
+func (e *endpoint) oldestStanding(except int64) (oldest int64) {
+	found := false
+	for incarnation := range e.standings {
+		if incarnation != except && incarnation != e.Incarnation && (!found || incarnation < oldest) {
+			oldest, found = incarnation, true
+		}
+	}
+	return oldest
+}
+
+// Process returns the process to which a request was sent.
+func (s *Send) Process() Process { return Process{s.endpoint.ID, s.incarnation} }
+
+// Process returns the process that an entry of the list describes.
+func (i *Info) Process() Process { return Process{i.ID, i.Incarnation} }
+
+// RecordStatement records what a process has said in an answer and returns what was not known before.
+// A process that has said that it leaves can't take that back.
+func (p *Pool) RecordStatement(now clock.Time, from Process, statement Statement) News {
+	known := p.endpoints[from.ID]
+	if known == nil {
+		return News{}
+	}
+	said := known.standings[from.Incarnation]
+	before := said
+	until := p.returnTime(now, known, statement.Pause)
+	said.leaving = said.leaving || statement.Leaving
+	said.malformed = said.malformed || statement.Malformed
+	said.pausedUntil = max(said.pausedUntil, until)
+	if said == before {
+		return News{}
+	}
+	known.setStanding(from.Incarnation, said)
+	if said.pausedUntil > before.pausedUntil {
+		p.pauses[from] = said.pausedUntil
+		if from.Incarnation == known.Incarnation {
+			known.trialLimit = 1
+		}
+	}
+	return News{
+		Leaving: said.leaving && !before.leaving, Malformed: said.malformed && !before.malformed,
+		Paused: said.pausedUntil > before.pausedUntil && !now.Before(before.pausedUntil),
+	}
+}
+
+// MaySend reports whether the endpoint of a send that has begun still takes requests. It is called
+// right before the request is written.
+func (p *Pool) MaySend(now clock.Time, send *Send) bool {
+	return !send.excess && !send.endpoint.leaving() && !send.endpoint.paused(now)
+}
+
+// MayCheck is the same for a health check.
+func (p *Pool) MayCheck(now clock.Time, id ident.Endpoint) bool {
+	known := p.endpoints[id]
+	return known != nil && !known.leaving() && !known.paused(now)
+}
+
+// Block tells why no endpoint of the region takes a request.
+type Block string
+
+// Blocks.
+const (
+	// BlockNone: an endpoint may take the request soon, or nothing is known.
+	BlockNone Block = ""
+	// BlockLeaving: all endpoints that could serve the request leave, at least one by its own word.
+	BlockLeaving Block = "endpoints leaving"
+	// BlockPaused: all of them leave or have asked for a pause, at least one for a pause.
+	BlockPaused Block = "endpoints paused"
+)
+
+// Blocked tells whether waiting for an endpoint of the region is useless because all that could serve
+// the request have said so, and after what time the first of them takes requests again if that is known.
+func (p *Pool) Blocked(now clock.Time, request Request) (block Block, after clock.Span) {
+	for _, e := range p.service(request.Service).regional {
+		excluded := p.evacuated[e.Zone] || slices.Contains(request.ExcludedEndpoints, e.ID)
+		switch {
+		case e.standing().leaving:
+			if block == BlockNone {
+				block = BlockLeaving
+			}
+		case !e.Leaving && !p.evacuated[e.Zone] && e.paused(now):
+			left := e.standing().pausedUntil.Sub(now)
+			if block != BlockPaused || left < after {
+				after = left
+			}
+			block = BlockPaused
+		case !e.Leaving && !excluded:
+			return BlockNone, 0
+		}
+	}
+	return block, after
+}
