fix(gate): deadlines of a request neither end its context nor keep its response from being written

A process held up beyond a request's remaining time and the margin of a second left the caller without a response: its connection was closed although the request had been forwarded and the caller was still there.

Cause: a read deadline stayed set while the request was handled. net/http reads beside the handler; the error of that read ends the request's context, which is taken for a caller that has left. The write deadline had passed as well, so that the response to a request with a body wasn't written although the log says it was.

Evidence: found in review.

Change: the read deadline is set only for a request with a body and cleared once the body is read. Before an error or a buffered response is written, the write deadline is set anew.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -114,6 +114,7 @@
 	copyResponseHeader(header, f.buffered.header)
 	header["Content-Length"] = []string{strconv.Itoa(len(f.buffered.body))}
 	f.server.setConnectionClose(header)
+	f.renewWrite()
 	f.writer.WriteHeader(f.buffered.status)
 	if _, err := f.writer.Write(f.buffered.body); err != nil {
 		f.leave(f.buffered.status)
@@ -195,6 +196,7 @@
 	f.lastOutcome = reason
 	f.server.protocol.SetRetryAfter(f.writer.Header(), min(after, max(minRetryAfter, f.remaining()/3)))
 	f.server.setConnectionClose(f.writer.Header())
+	f.renewWrite()
 	writeError(f.writer, http.StatusServiceUnavailable, caller.RanNo, caller.ReasonOverload, reason, f.meta.AttemptID)
 	f.finish("refused", http.StatusServiceUnavailable)
 }
@@ -206,6 +208,7 @@
 		return
 	}
 	f.server.setConnectionClose(f.writer.Header())
+	f.renewWrite()
 	writeError(f.writer, status, caller.RanUnknown, caller.ReasonEndpoint, reason, f.meta.AttemptID)
 	f.finish("failed", status)
 }
--- a/gate/front.go
+++ b/gate/front.go
@@ -53,7 +53,7 @@
 	s.metrics.active.Inc(1)
 	defer s.metrics.active.Dec(1)
 	arrived := s.clock.Now()
-	s.boundTransfer(w, refusalTransfer)
+	s.boundTransfer(w, r, refusalTransfer)
 	if hopped {
 		s.protocol.CopyAttemptID(w.Header(), r.Header)
 	}
@@ -77,7 +77,7 @@
 	request := s.newInflight(w, r, table, route, arrived)
 	request.hopped = hopped
 	defer request.release()
-	s.boundTransfer(w, request.remaining())
+	s.boundTransfer(w, r, request.remaining())
 	if !request.readBody(table.Bounds.BodyBytes) {
 		return
 	}
@@ -103,19 +103,34 @@
 	f.fail(http.StatusBadGateway, "internal error")
 }
 
-// boundTransfer limits the time for reading the request and writing the response, so that a caller
-// that sends or reads slowly holds nothing for longer than its request may take. Each request sets
-// it anew, since the limits stay on the connection.
-func (s *Server) boundTransfer(w http.ResponseWriter, limit clock.Span) {
-	control := http.NewResponseController(w)
+// boundTransfer limits the time for reading the request's body and writing the response, so that a
+// caller that sends or reads slowly holds nothing for longer than its request may take. Each request
+// sets it anew, since the limits stay on the connection. Without a body nothing is left to read: net/http
+// reads beside the handler, and a deadline of that read would end the request's context.
+func (s *Server) boundTransfer(w http.ResponseWriter, r *http.Request, limit clock.Span) {
+	if r.ContentLength != 0 {
+		s.setReadDeadline(w, time.Now().Add((limit + transferMargin).Duration()))
+	}
+	s.boundWrite(w, limit)
+}
+
+func (s *Server) setReadDeadline(w http.ResponseWriter, end time.Time) {
+	if err := http.NewResponseController(w).SetReadDeadline(end); err != nil {
+		s.log.Debug("setting the caller's deadline failed", zap.Error(err))
+	}
+}
+
+// boundWrite limits the time for writing the response.
+func (s *Server) boundWrite(w http.ResponseWriter, limit clock.Span) {
 	end := time.Now().Add((limit + transferMargin).Duration())
-	for _, err := range []error{control.SetReadDeadline(end), control.SetWriteDeadline(end)} {
-		if err != nil {
-			s.log.Debug("setting the caller's deadline failed", zap.Error(err))
-		}
+	if err := http.NewResponseController(w).SetWriteDeadline(end); err != nil {
+		s.log.Debug("setting the caller's deadline failed", zap.Error(err))
 	}
 }
 
+// renewWrite allows time for a complete response, also if the process was held up beyond the limit.
+func (f *inflight) renewWrite() { f.server.boundWrite(f.writer, max(0, f.remaining())) }
+
 // refuseUnready refuses a request that this instance cannot accept now.
 func (s *Server) refuseUnready(w http.ResponseWriter, r *http.Request, reason string) {
 	attempt := s.protocol.RequestMeta(r.Header).AttemptID
@@ -178,6 +193,7 @@
 			return false
 		case n < max(size, bodyStepBytes):
 			f.body = body.Bytes()
+			f.server.setReadDeadline(f.writer, time.Time{}) // net/http reads beside the handler from now on
 			return true
 		}
 	}
@@ -210,6 +226,7 @@
 	// body far above the limit is not read to its end.
 	_, _ = io.CopyN(io.Discard, f.request.Body, maxDiscardBytes)
 	f.writer.Header().Set("Connection", "close")
+	f.renewWrite()
 	writeError(f.writer, status, caller.RanNo, caller.ReasonMalformed, reason, f.meta.AttemptID)
 	f.finish("rejected", status)
 }
