fix(gate): a panic in a background task or before a request is accepted is contained

A panic in a periodic task of an instance or in a round of the mesh ended the process, and all its callers lost their connections without a response. A panic before a request was accepted, or while its body was read, closed the caller's connection without a response.

Cause: only the tasks that follow the store, datagrams and the processing of a request contained panics.

Evidence: found in review; no trigger is known.

Change: each call of a periodic task, each query and the announcement at the start, and each round of the mesh contain a panic, which ends only this call. A request is covered from its arrival on: 502, counted in panics.

Result: TestTaskContinuesAfterPanic, TestEarlyPanicIsAnswered and TestRoundsContinueAfterPanic fail on the code before (the first with the call adapted to its signature there): the test process ends. They pass now.

--- a/gate/front.go
+++ b/gate/front.go
@@ -52,6 +52,7 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request, hopped bool) {
 	s.metrics.active.Inc(1)
 	defer s.metrics.active.Dec(1)
+	defer s.containEarlyPanic(w)
 	arrived := s.clock.Now()
 	s.boundTransfer(w, r, refusalTransfer)
 	if hopped {
@@ -77,6 +78,7 @@
 	request := s.newInflight(w, r, table, route, arrived)
 	request.hopped = hopped
 	defer request.release()
+	defer request.containPanic()
 	s.boundTransfer(w, r, request.remaining())
 	if !request.readBody(table.Bounds.BodyBytes) {
 		return
@@ -84,10 +86,25 @@
 	request.fingerprint = fingerprint(r.Host, r.RequestURI, request.body)
 	ctx, cancel := context.WithTimeout(r.Context(), request.remaining().Duration())
 	defer cancel()
-	defer request.containPanic()
 	request.run(ctx)
 }
 
+// containEarlyPanic ends a panic before the request was accepted. The caller gets the same response as
+// from containPanic.
+func (s *Server) containEarlyPanic(w http.ResponseWriter) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler { //nolint:errorlint // net/http compares the value too
+		panic(cause)
+	}
+	s.countPanic()
+	logs.ReportPanic(s.log, cause)
+	s.setConnectionClose(w.Header())
+	writeError(w, http.StatusBadGateway, caller.RanUnknown, caller.ReasonEndpoint, "internal error", "")
+}
+
 // containPanic ends a panic while the request was processed. Since the request may have run, the
 // caller is told that its outcome is unknown.
 func (f *inflight) containPanic() {
--- a/gate/server.go
+++ b/gate/server.go
@@ -234,12 +234,12 @@
 	})
 	s.tasks.Go(func() { s.repeat(ctx, "list", func() { s.followList(ctx, list) }) })
 	s.tasks.Go(func() { s.repeat(ctx, "control", func() { s.followControl(ctx, control) }) })
-	s.tasks.Go(func() { runEvery(ctx, checkInterval.Duration(), s.startHealthChecks) })
-	s.tasks.Go(func() { runEvery(ctx, zoneInterval.Duration(), s.watchZones) })
-	s.tasks.Go(func() { runEvery(ctx, maintainInterval, s.maintain) })
+	s.tasks.Go(func() { s.runEvery(ctx, "health checks", checkInterval.Duration(), s.startHealthChecks) })
+	s.tasks.Go(func() { s.runEvery(ctx, "zones", zoneInterval.Duration(), s.watchZones) })
+	s.tasks.Go(func() { s.runEvery(ctx, "maintenance", maintainInterval, s.maintain) })
 	s.tasks.Go(func() {
 		s.awaitReady(ctx)
-		runEvery(ctx, outageInterval.Duration(), s.syncDuringOutage)
+		s.runEvery(ctx, "outage", outageInterval.Duration(), s.syncDuringOutage)
 	})
 }
 
@@ -250,24 +250,26 @@
 	retry := newStartupBackoff()
 	for ctx.Err() == nil && !s.state.ready() {
 		if now := s.clock.Now(); !now.Before(queryAt) {
-			s.syncWithAny(ctx)
+			s.contain("startup", func() { s.syncWithAny(ctx) })
 			queryAt = now.Add(randomAround(retry.Next()))
 		}
 		clock.Sleep(ctx, startupPollInterval)
 	}
 	if ctx.Err() == nil && !s.draining.Load() {
-		s.announce(mesh.Ready)
+		s.contain("startup", func() { s.announce(mesh.Ready) })
 	}
 }
 
-// repeat calls fn until ctx ends. A panic, such as one caused by malformed data, ends only the
-// current call.
+// contain calls fn. A panic, such as one caused by malformed data, ends only this call.
+func (s *Server) contain(task string, fn func()) {
+	defer logs.RecoverPanic(s.log, task, s.countPanic)
+	fn()
+}
+
+// repeat calls fn until ctx ends. A panic ends only the current call.
 func (s *Server) repeat(ctx context.Context, task string, fn func()) {
 	for ctx.Err() == nil {
-		func() {
-			defer logs.RecoverPanic(s.log, task, s.countPanic)
-			fn()
-		}()
+		s.contain(task, fn)
 		clock.Sleep(ctx, panicPause)
 	}
 }
@@ -278,8 +280,8 @@
 	return cmp.Or(bound, defaultPropagationBound)
 }
 
-// runEvery calls fn at a fixed interval until ctx ends.
-func runEvery(ctx context.Context, pause time.Duration, fn func(context.Context)) {
+// runEvery calls fn at a fixed interval until ctx ends. A panic ends only the current call.
+func (s *Server) runEvery(ctx context.Context, task string, pause time.Duration, fn func(context.Context)) {
 	ticker := time.NewTicker(pause)
 	defer ticker.Stop()
 	for {
@@ -287,7 +289,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			fn(ctx)
+			s.contain(task, func() { fn(ctx) })
 		}
 	}
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -25,7 +25,7 @@
 	Facts func() Facts
 	// OnFacts is called with the facts that another instance reports.
 	OnFacts func(from Record, facts Facts)
-	// OnPanic is called after a panic while a datagram was processed; it may be nil.
+	// OnPanic is called after a panic in a round or while a datagram was processed; it may be nil.
 	OnPanic func()
 	// OnSent is called with the size of each datagram sent; it may be nil.
 	OnSent func(bytes int)
@@ -61,12 +61,7 @@
 func (n *Node) run(ctx context.Context) {
 	defer n.socket.Close() //nolint:errcheck // the process is ending
 	for {
-		facts := n.config.Facts()
-		n.send(withTable(n, func(t *Table, now clock.Time) []OutgoingMessage {
-			t.RemoveExpired(now)
-			n.logAlive(len(t.Alive(now)))
-			return t.NextRound(now, facts)
-		}))
+		n.sendRound()
 		select {
 		case <-ctx.Done():
 			return
@@ -75,6 +70,17 @@
 	}
 }
 
+// sendRound sends the messages of one round. A panic ends only that.
+func (n *Node) sendRound() {
+	defer logs.RecoverPanic(n.config.Log, "round", n.config.OnPanic)
+	facts := n.config.Facts()
+	n.send(withTable(n, func(t *Table, now clock.Time) []OutgoingMessage {
+		t.RemoveExpired(now)
+		n.logAlive(len(t.Alive(now)))
+		return t.NextRound(now, facts)
+	}))
+}
+
 func (n *Node) logAlive(count int) {
 	if count == n.aliveCount {
 		return
