fix(gate): a new connection keeps its header deadline when an expiry is withdrawn

A new connection on which a header had begun to arrive when a drain let it expire could stay open without the rest of the header, and held up the drain until the end of its grace period.

Cause: withdrawing the expiry removed the read deadline, which replaced the header deadline of net/http; only for idle connections was it set again.

Change: a withdrawn expiry sets the header deadline unless a request is active.

Result: TestWithdrawnExpiryKeepsTheHeaderDeadline fails on the code before and passes now.

--- a/gate/conns.go
+++ b/gate/conns.go
@@ -209,7 +209,11 @@
 		return
 	}
 	c.expiring = ""
-	_ = c.TCPConn.SetReadDeadline(time.Time{}) // an error means that the connection is closed
+	var end time.Time
+	if c.state != http.StateActive {
+		end = time.Now().Add(headerTimeout) // the expiry has replaced the deadline that net/http had set
+	}
+	_ = c.TCPConn.SetReadDeadline(end) // an error means that the connection is closed
 }
 
 // SetReadDeadline sets the deadline of reads, unless the connection expires.
--- a/gate/conns_test.go
+++ b/gate/conns_test.go
@@ -173,3 +173,21 @@
 	defer cancel()
 	require.True(t, server.closeUnused(ctx))
 }
+
+// Guards against a new connection that stays open without the rest of its header because a withdrawn
+// expiry has removed the header deadline.
+func TestWithdrawnExpiryKeepsTheHeaderDeadline(t *testing.T) {
+	server := startTracked(t, clock.Minute, nil)
+	conn, _ := dialTracked(t, server.address)
+	require.Eventually(t, func() bool { return len(server.open()) == 1 }, connTestTimeout, time.Millisecond)
+	tracked := server.open()[0]
+	time.Sleep(50 * time.Millisecond) // net/http waits for the first byte
+	tracked.mu.Lock()
+	sendText(t, conn, "GET / HT")
+	time.Sleep(50 * time.Millisecond) // the first bytes have been read, but the read waits for the lock
+	tracked.startExpiry(closedDrain)
+	tracked.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.Context(), connTestTimeout)
+	defer cancel()
+	require.True(t, server.closeUnused(ctx))
+}
