fix(crash): parts after the deadly one do not take the blame

What callers saw: requests with a part that crashes endpoints ran again after it had been refused. Cause: the deepest part explained its crashes first. A shareable part after the deadly one that was at two of its crashes took the blame, and the verdict against the deadly one was withdrawn. Evidence: four crashes by part 20, followed by 31 or 32 in turn: 31 and 32 are refused and 20 is not. Change: first parts come last; among the others the part at the most crashes comes first, then the deepest. The property test draws a third, shareable part after the deadly one, and six crashes instead of four. Before and after: TestPartVerdicts (unproven parts after the cause) and TestPartInterleavings fail on the code before and pass now.

--- a/crash/parts_test.go
+++ b/crash/parts_test.go
@@ -61,6 +61,10 @@
 			inFlight: []crash.InFlightRequest{starting(1, 1, 10, 20), starting(1, 3, 11, 15, 12), starting(2, 2, 10, 20), starting(2, 4, 11, 15, 12)},
 			complete: []ident.Part{11, 15, 12}, refused: []ident.Part{20},
 		},
+		"unproven parts after the cause": {
+			inFlight: []crash.InFlightRequest{starting(1, 1, 10, 20, 31), starting(2, 2, 10, 20, 32), starting(3, 3, 10, 20, 31), starting(4, 4, 10, 20, 32)},
+			refused:  []ident.Part{20},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			parts := crash.NewParts(crash.PartsConfig{})
@@ -177,6 +181,8 @@
 	crashes  ident.Crash
 	deadly   int
 	complete map[ident.Part]bool
+	// after counts the crashes by the part that came after the deadly one.
+	after map[ident.Part]int
 }
 
 // request returns a new request with a first part, a second part and its own last one left out.
@@ -193,11 +199,14 @@
 func (f *partFleet) crash() {
 	at := rapid.IntRange(0, instances-1).Draw(f.t, "instance")
 	crasher := f.request(deadly)
+	after := ident.Part(rapid.IntRange(201, 203).Draw(f.t, "third"))
+	crasher.Parts = append(crasher.Parts, after)
 	if _, refused := f.parts[at].Refused(f.now, crasher.Parts); refused {
 		return
 	}
 	f.crashes++
 	f.deadly++
+	f.after[after]++
 	inFlight := make([][]crash.InFlightRequest, instances)
 	inFlight[at] = append(inFlight[at], crasher)
 	for i := range inFlight {
@@ -211,6 +220,17 @@
 	}
 }
 
+// sameAfter reports whether the same part came after the deadly one at all crashes, so that either may be
+// the cause.
+func (f *partFleet) sameAfter() bool {
+	for _, crashes := range f.after {
+		if crashes == f.deadly {
+			return true
+		}
+	}
+	return false
+}
+
 // completion lets a sound request complete unless it is refused.
 func (f *partFleet) completion() {
 	at := f.parts[rapid.IntRange(0, instances-1).Draw(f.t, "instance")]
@@ -249,7 +269,7 @@
 // know of two crashes, and against the refusal of a part with which requests complete.
 func TestPartInterleavings(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := &partFleet{t: t, now: start, complete: make(map[ident.Part]bool)}
+		f := &partFleet{t: t, now: start, complete: make(map[ident.Part]bool), after: make(map[ident.Part]int)}
 		for range instances {
 			f.parts = append(f.parts, crash.NewParts(crash.PartsConfig{}))
 		}
@@ -257,7 +277,7 @@
 			f.now = f.now.Add(clock.Span(rapid.IntRange(1, 400).Draw(t, "pause")))
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0:
-				if f.deadly < 4 {
+				if f.deadly < 6 {
 					f.crash()
 				}
 			case 1, 2:
@@ -281,7 +301,11 @@
 		f.spread()
 		for _, p := range f.parts {
 			_, refused := p.Refused(f.now, []ident.Part{deadly})
-			require.Equal(t, f.deadly >= 2, refused, "after %d crashes", f.deadly)
+			require.Equal(t, f.deadly >= 2 && !f.sameAfter(), refused, "after %d crashes", f.deadly)
+			for after := range f.after {
+				_, refused = p.Refused(f.now, []ident.Part{deadly, after})
+				require.Equal(t, f.deadly >= 2, refused, "with the part after it, after %d crashes", f.deadly)
+			}
 		}
 	})
 }
--- a/crash/verdicts.go
+++ b/crash/verdicts.go
@@ -42,8 +42,10 @@
 	}
 }
 
-// candidates returns the parts with evidence in the order in which they may explain crashes. The
-// parts before one are in all of its requests, so that the deepest come first.
+// candidates returns the parts with evidence in the order in which they may explain crashes. First
+// parts come last, as they are in all requests of the others. Among the others, the one at the most crashes
+// comes first, since an unproven part after the cause is at some of its crashes only, and of those at
+// equally many the deepest, since the parts before one are in all of its requests.
 func (p *Parts) candidates() (records []*partRecord) {
 	counts := make(map[ident.Part]int)
 	for record := range p.suspect.all() {
@@ -53,7 +55,10 @@
 		}
 	}
 	slices.SortFunc(records, func(a, b *partRecord) int {
-		return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(counts[b.part], counts[a.part]), cmp.Compare(a.part, b.part))
+		return cmp.Or(
+			cmp.Compare(min(b.depth, 1), min(a.depth, 1)), cmp.Compare(counts[b.part], counts[a.part]),
+			cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part),
+		)
 	})
 	return records
 }
