fix(gate): a crash after the first output counts as one at the start

What callers saw: requests went on to crash endpoints if these sent an event before they crashed. Cause: the first output was kept for the whole request, so that a resumed stream counted as started at its second endpoint before any output there; and a break later than 200 ms after the first output did not count. Evidence: with a crash 320 ms after the first event no part is refused. Change: the first output belongs to the send, and a break up to 2 s after it counts. The reset at each send has no test of its own.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -23,8 +23,8 @@
 	cancel      context.CancelCauseFunc
 	timer       *time.Timer
 	ended       bool
-	// forwarded reports whether an event of this send has been forwarded.
-	forwarded bool
+	// firstOutput is when the first event of this send was forwarded, 0 before.
+	firstOutput clock.Time
 }
 
 // errFirstByteTimeout cancels a send whose endpoint did not respond in time.
@@ -97,16 +97,16 @@
 	return brokenRequest{
 		InFlightRequest: crash.InFlightRequest{
 			Fingerprint: inflight.fingerprint, Regions: inflight.route.HomeRegions,
-			Parts: inflight.parts, Starting: !inflight.hasStarted(inflight.server.clock.Now()),
+			Parts: inflight.parts, Starting: !a.hasStarted(inflight.server.clock.Now()),
 		},
 		attemptID: inflight.meta.AttemptID,
 	}
 }
 
-// hasStarted reports whether the request has had output for longer than its start takes, at this or
-// an earlier endpoint.
-func (f *inflight) hasStarted(now clock.Time) bool {
-	return f.firstOutput > 0 && now.Sub(f.firstOutput) > startTime
+// hasStarted reports whether the send has had output for longer than its start takes. The output of
+// an earlier endpoint does not count: each generates anew for the prompt.
+func (a *attempt) hasStarted(now clock.Time) bool {
+	return a.firstOutput > 0 && now.Sub(a.firstOutput) > startTime
 }
 
 // handleFailure handles a send that ended without a complete response.
--- a/gate/events.go
+++ b/gate/events.go
@@ -104,7 +104,9 @@
 		inflight.lastEventID = id
 	}
 	a.sendHeader(response)
-	a.forwarded = true
+	if a.firstOutput == 0 {
+		a.firstOutput = inflight.server.clock.Now()
+	}
 	if err := inflight.writeEvents(events); err != nil {
 		return err
 	}
@@ -115,7 +117,7 @@
 func (f *inflight) writeEvents(events []byte) error {
 	now := f.server.clock.Now()
 	if f.lastWrite == 0 {
-		f.firstOutput, f.firstEventDelay = now, now.Sub(f.arrived)
+		f.firstEventDelay = now.Sub(f.arrived)
 	} else {
 		f.longestPause = max(f.longestPause, now.Sub(f.lastWrite))
 	}
@@ -145,7 +147,7 @@
 	switch unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0; {
 	case len(rest) > 0:
 		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "stream ends inside an event"))
-	case unframed && !a.forwarded:
+	case unframed && a.firstOutput == 0:
 		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "connection ends before the first event"))
 	}
 	a.sendHeader(response)
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -89,8 +89,6 @@
 	longestPause    clock.Span
 	lastWrite       clock.Time
 	lastEventID     string
-	// firstOutput is when the first output of an endpoint was forwarded, 0 before.
-	firstOutput clock.Time
 	// generated is set if an endpoint has generated a successful response, or the events of one.
 	generated bool
 	// buffered is an endpoint's error response, which is delivered if no further send succeeds.
--- a/gate/suspect.go
+++ b/gate/suspect.go
@@ -19,8 +19,9 @@
 	maxBrokenPerEndpoint = 256
 	// maxLoggedSuspects bounds the requests and the prompt parts that are named in one line of the log.
 	maxLoggedSuspects = 8
-	// startTime is how long after the first output of a request a crash may still be due to its start.
-	startTime = 200 * clock.Millisecond
+	// startTime is how long after the first output of a send a crash may still be due to its start. A
+	// request that only happened to be at the crash is protected by completions of others with its parts.
+	startTime = 2 * clock.Second
 )
 
 // brokenRequest is a request whose connection to an endpoint broke.
