fix(gate): an unframed end of a response does not clear prompt parts

What callers saw: requests with a part that crashes endpoints ran without end if these ended a stream without length or chunks after a whole event. Cause: the end of the connection was taken for a completion, which cleared the deadly part. Evidence: with such an endpoint no part was refused. Change: an unframed end of a 2xx response is no completion for prompt parts. It is kept as a broken request for a second and is evidence only if the endpoint then breaks another connection or turns out to be unreachable. For the suspicion by request it stays a completion. The endpoint is not checked because of it.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -86,6 +86,7 @@
 	inflight.runs++
 	if response.StatusCode < http.StatusInternalServerError {
 		inflight.generated = response.StatusCode/100 == 2
+		a.unframed = inflight.generated && isUnframed(response)
 		a.recordEnd(pool.Complete)
 		inflight.deliverBuffered()
 		return resultDone
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -25,6 +25,8 @@
 	ended       bool
 	// firstOutput is when the first event of this send was forwarded, 0 before.
 	firstOutput clock.Time
+	// unframed is set if the response ended with its connection, which may be due to a crash.
+	unframed bool
 }
 
 // errFirstByteTimeout cancels a send whose endpoint did not respond in time.
@@ -60,7 +62,12 @@
 	inflight.lastOutcome = string(outcome)
 	inflight.server.metrics.recordSend(string(outcome))
 	if outcome == pool.Complete {
-		inflight.server.state.recordCompleted(inflight, inflight.generated)
+		inflight.server.state.recordCompleted(inflight, inflight.generated && !a.unframed)
+		if a.unframed && a.destination.local != nil {
+			ended := a.brokenRequest()
+			ended.unframed = true
+			inflight.server.state.recordBroken(a.destination.local.Endpoint, ended)
+		}
 	}
 	if a.send != nil {
 		inflight.server.state.withPool(func(p *pool.Pool, now clock.Time) { p.EndSend(now, a.send, outcome) })
--- a/gate/events.go
+++ b/gate/events.go
@@ -144,10 +144,11 @@
 // finishStream handles the end of a stream. One that ends inside an event has been broken off. So has
 // one that the end of the connection ended without any event: its end does not tell whether it is whole.
 func (a *attempt) finishStream(ctx context.Context, response *relay.EndpointResponse, rest []byte) result {
-	switch unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0; {
+	a.unframed = isUnframed(response)
+	switch {
 	case len(rest) > 0:
 		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "stream ends inside an event"))
-	case unframed && a.firstOutput == 0:
+	case a.unframed && a.firstOutput == 0:
 		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "connection ends before the first event"))
 	}
 	a.sendHeader(response)
@@ -156,6 +157,11 @@
 	return resultDone
 }
 
+// isUnframed reports whether only the end of the connection ends a response.
+func isUnframed(response *relay.EndpointResponse) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // lastEventID returns the id of the last event that has one, or "".
 func lastEventID(events []byte) string {
 	for len(events) > 0 {
--- a/gate/suspect.go
+++ b/gate/suspect.go
@@ -22,12 +22,18 @@
 	// startTime is how long after the first output of a send a crash may still be due to its start. A
 	// request that only happened to be at the crash is protected by completions of others with its parts.
 	startTime = 2 * clock.Second
+	// unframedTerm is how long after an unframed end of a response a crash may have caused it.
+	unframedTerm = clock.Second
 )
 
 // brokenRequest is a request whose connection to an endpoint broke.
 type brokenRequest struct {
 	crash.InFlightRequest
 	attemptID string
+	// unframed is set if the connection ended the response, so that only a crash of the endpoint soon
+	// after brokenAt shows that the response was broken off.
+	unframed bool
+	brokenAt clock.Time
 }
 
 // fingerprint identifies a request across sends by the parts that an endpoint receives.
@@ -51,11 +57,19 @@
 func (s *state) recordBroken(id ident.Endpoint, broken brokenRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock.Now()
+	broken.brokenAt = now
+	s.brokenRequests[id] = slices.DeleteFunc(s.brokenRequests[id], func(b brokenRequest) bool { return b.outdated(now) })
 	if broken.Crash = s.crashID(id); len(s.brokenRequests[id]) < maxBrokenPerEndpoint {
 		s.brokenRequests[id] = append(s.brokenRequests[id], broken)
 	}
 }
 
+// outdated reports whether the request ended too long ago to be due to a crash now.
+func (b brokenRequest) outdated(now clock.Time) bool {
+	return b.unframed && now.Sub(b.brokenAt) > unframedTerm
+}
+
 // clearBroken records that an endpoint responds, so that broken connections were not caused by a
 // crash.
 func (s *state) clearBroken(id ident.Endpoint) {
@@ -87,16 +101,20 @@
 // recordCrash distributes the suspicion among the requests that were running on a crashed
 // endpoint. The lock must be held.
 func (s *state) recordCrash(now clock.Time, id ident.Endpoint) {
-	broken := s.brokenRequests[id]
+	broken := slices.DeleteFunc(s.brokenRequests[id], func(b brokenRequest) bool { return b.outdated(now) })
 	delete(s.brokenRequests, id)
 	if len(broken) == 0 {
 		return
 	}
-	inFlight := make([]crash.InFlightRequest, 0, len(broken))
+	// A request whose response ended unframed counts as completed for itself, but its parts are evidence.
+	var inFlight, incomplete []crash.InFlightRequest
 	for _, b := range broken {
 		inFlight = append(inFlight, b.InFlightRequest)
+		if !b.unframed {
+			incomplete = append(incomplete, b.InFlightRequest)
+		}
 	}
-	reports := s.suspects.RecordEndpointCrash(now, inFlight)
+	reports := s.suspects.RecordEndpointCrash(now, incomplete)
 	s.parts.RecordCrash(now, inFlight)
 	starting, ids, parts := startingRequests(broken)
 	s.log.Warn("endpoint crashed", zap.String("endpoint", string(id)), zap.Int("requests", len(inFlight)),
