fix(crash): refused parts stay when the table of suspects is full

What callers saw: a refused part ran again after crashes at which many other parts were. Cause: the table evicted the least recently used part, whether it was refused or not. Evidence: 600 requests with parts of their own at 12 crashes made an instance forget a refused part. Change: parts that are not refused go first, of these the ones with the least evidence, then the least recently used. Before and after: TestRefusedPartStaysInFullTable fails on the code before and passes now.

--- a/crash/lru.go
+++ b/crash/lru.go
@@ -41,6 +41,8 @@
 	}
 }
 
+func (l *lru[V]) full() bool { return l.recency.Len() >= l.max }
+
 func (l *lru[V]) remove(part ident.Part) {
 	if element, ok := l.entries[part]; ok {
 		l.recency.Remove(element)
--- a/crash/parts.go
+++ b/crash/parts.go
@@ -72,6 +72,8 @@
 	depth int
 	// pairs is sorted by expiry, the newest first.
 	pairs []pair
+	// weight is the number of crashes, or of requests at them if that is less.
+	weight int
 	// trials counts the trials of this instance since the last clearance, and lastTrial is when the
 	// last one began.
 	trials    int
@@ -270,6 +272,7 @@
 	record, ok := p.suspect.get(part)
 	if !ok {
 		record = &partRecord{part: part}
+		p.evict()
 		p.suspect.put(part, record)
 	}
 	if depth > record.depth {
@@ -280,9 +283,39 @@
 	}
 	record.pairs = append(record.pairs, evidence)
 	record.trim()
+	total := record.weigh(nil)
+	record.weight = min(total.Crashes, total.Requests)
 	p.changed = p.changed || record.has(evidence)
 }
 
+// evict makes room for another part: parts that are not refused go first, of these the ones with the
+// least evidence, and of these the least recently used.
+func (p *Parts) evict() {
+	if !p.suspect.full() {
+		return
+	}
+	var least *partRecord
+	for record := range p.suspect.all() {
+		if least == nil || p.compareEvidence(record, least) <= 0 {
+			least = record
+		}
+	}
+	p.suspect.remove(least.part)
+	p.changed = true
+}
+
+func (p *Parts) compareEvidence(a, b *partRecord) int {
+	_, refusedA := p.verdicts[a.part]
+	_, refusedB := p.verdicts[b.part]
+	switch {
+	case refusedA && !refusedB:
+		return 1
+	case refusedB && !refusedA:
+		return -1
+	}
+	return cmp.Compare(a.weight, b.weight)
+}
+
 // has reports whether the evidence is known.
 func (r *partRecord) has(evidence pair) bool {
 	return slices.ContainsFunc(r.pairs, func(e pair) bool { return e.crash == evidence.crash && e.request == evidence.request })
--- a/crash/parts_test.go
+++ b/crash/parts_test.go
@@ -147,6 +147,19 @@
 	require.Equal(t, []ident.Part{1_000_000}, refusedParts(parts, start))
 }
 
+// Guards against a refused part that is forgotten because many other parts are at crashes.
+func TestRefusedPartStaysInFullTable(t *testing.T) {
+	parts := crash.NewParts(crash.PartsConfig{})
+	parts.RecordCrash(start, []crash.InFlightRequest{starting(1, 1, 10, 20), starting(2, 2, 10, 20)})
+	require.Equal(t, []ident.Part{20}, refusedParts(parts, start))
+	for i := range 600 {
+		n := ident.Part(1000 + 2*i)
+		parts.RecordCrash(start+1, []crash.InFlightRequest{starting(ident.Crash(100+i%12), ident.Fingerprint(100+i), 11, n, n+1)})
+	}
+	parts.RecordCompletion(start+2, []ident.Part{10, 11}, nil)
+	require.Equal(t, []ident.Part{20}, refusedParts(parts, start+3))
+}
+
 // Guards against a part that is not found because many requests with it, or with other parts, were
 // starting at each crash.
 func TestManyRequestsAtACrash(t *testing.T) {
