--- a/gate/events.go
+++ b/gate/events.go
@@ -104,7 +104,9 @@
 		inflight.lastEventID = id
 	}
 	a.sendHeader(response)
-	a.forwarded = true
+	if a.firstOutput == 0 {
+		a.firstOutput = inflight.server.clock.Now()
+	}
 	if err := inflight.writeEvents(events); err != nil {
 		return err
 	}
@@ -115,7 +117,7 @@
 func (f *inflight) writeEvents(events []byte) error {
 	now := f.server.clock.Now()
 	if f.lastWrite == 0 {
-		f.firstOutput, f.firstEventDelay = now, now.Sub(f.arrived)
+		f.firstEventDelay = now.Sub(f.arrived)
 	} else {
 		f.longestPause = max(f.longestPause, now.Sub(f.lastWrite))
 	}
@@ -142,10 +144,11 @@
 // finishStream handles the end of a stream. One that ends inside an event has been broken off. So has
 // one that the end of the connection ended without any event: its end does not tell whether it is whole.
 func (a *attempt) finishStream(ctx context.Context, response *relay.EndpointResponse, rest []byte) result {
-	switch unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0; {
+	a.unframed = isUnframed(response)
+	switch {
 	case len(rest) > 0:
 		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "stream ends inside an event"))
-	case unframed && !a.forwarded:
+	case a.unframed && a.firstOutput == 0:
 		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "connection ends before the first event"))
 	}
 	a.sendHeader(response)
@@ -154,6 +157,11 @@
 	return resultDone
 }
 
+// isUnframed reports whether only the end of the connection ends a response.
+func isUnframed(response *relay.EndpointResponse) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // lastEventID returns the id of the last event that has one, or "".
 func lastEventID(events []byte) string {
 	for len(events) > 0 {
