fix(gate): a connection that was reset before it was accepted does not end the process

What callers would see: all requests of an instance end without a response. A connection that is reset while it waits to be accepted has no remote address; at the end of a drain's grace period the instance logs the address of such a connection. Cause: the address was used without a check. Evidence: TestResetConnectionIsCutOff panics on the code before. Change: the log line has an empty address then. Result: the test passes.

--- a/gate/conns.go
+++ b/gate/conns.go
@@ -279,10 +279,18 @@
 	c.tracker.server.metrics.recordClose(reason)
 	if c.received && c.state != http.StateActive { // the end of an active request is logged
 		c.tracker.server.metrics.closedInRequest.Inc(1)
-		c.tracker.server.log.Info("connection closed during a request", zap.String("remote", c.RemoteAddr().String()), zap.String("reason", string(reason)))
+		c.tracker.server.log.Info("connection closed during a request", zap.String("remote", c.remote()), zap.String("reason", string(reason)))
 	}
 }
 
+// remote returns the address of the other side, or "" if the connection was reset before it was accepted.
+func (c *trackedConn) remote() string {
+	if address := c.RemoteAddr(); address != nil {
+		return address.String()
+	}
+	return ""
+}
+
 // closeUnused ends the connections on which no request is expected, waits until all others have ended
 // too, and reports whether that happened before ctx ended.
 func (t *tracker) closeUnused(ctx context.Context) bool {
--- a/gate/conns_test.go
+++ b/gate/conns_test.go
@@ -191,3 +191,23 @@
 	defer cancel()
 	require.True(t, server.closeUnused(ctx))
 }
+
+// Guards against a panic because of a connection that was reset before it was accepted.
+func TestResetConnectionIsCutOff(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	remote, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	sendText(t, remote, "GET / HT")
+	require.NoError(t, remote.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, remote.Close())
+	time.Sleep(50 * time.Millisecond) // the reset arrives
+	conns, err := stopAccepting(listener)
+	require.NoError(t, err)
+	require.Len(t, conns, 1)
+	conn := newTracker(newBareServer()).track(conns[0], true).(*trackedConn)
+	_, err = conn.Read(make([]byte, 100))
+	t.Logf("remote %q, read: %v", conn.remote(), err)
+	conn.recordCutOff()
+	require.Equal(t, closedCutOff, conn.closed)
+}
