--- a/gate/statement.go
+++ b/gate/statement.go
@@ -28,18 +28,18 @@
 	if statement == (pool.Statement{}) {
 		return
 	}
-	var news pool.News
-	s.withPool(func(p *pool.Pool, now clock.Time) { news = p.RecordStatement(now, from, statement) })
+	var learned pool.Learned
+	s.withPool(func(p *pool.Pool, now clock.Time) { learned = p.RecordStatement(now, from, statement) })
 	log := s.log.With(zap.String("endpoint", string(from.ID)), zap.Int64("incarnation", from.Incarnation), source)
-	if news.Leaving {
+	if learned.Leaving {
 		s.metrics.leavings.Inc(1)
 		log.Info("endpoint says it leaves")
 	}
-	if news.Paused {
+	if learned.Paused {
 		s.metrics.pauses.Inc(1)
 		log.Info("endpoint asked for a pause", zap.Int64("pause", int64(statement.Pause)))
 	}
-	if news.Malformed {
+	if learned.Malformed {
 		log.Warn("malformed statement of endpoint", zap.String("value", response.MalformedLeaving))
 	}
 }
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -25,8 +25,8 @@
 	Info
 	// idHash is the hash of the id.
 	idHash uint64
-	// standings holds what each known process of the endpoint has said about itself, by incarnation.
-	standings map[int64]standing
+	// selfReports holds what each known process of the endpoint has said about itself, by incarnation.
+	selfReports map[int64]selfReport
 	// trialLimit bounds the sends in progress that began after a pause, until the endpoint has answered
 	// enough of them; 0 is no bound. trials is their number.
 	trialLimit int
--- a/pool/pause.go
+++ b/pool/pause.go
@@ -17,7 +17,7 @@
 )
 
 // paused reports whether the endpoint has asked for a pause that is not over.
-func (e *endpoint) paused(now clock.Time) bool { return now.Before(e.standing().pausedUntil) }
+func (e *endpoint) paused(now clock.Time) bool { return now.Before(e.selfReport().pausedUntil) }
 
 // returnTime returns when this instance may send requests to an endpoint again that asks for a pause, or
 // 0 without a pause. The instances of the region return in turns.
--- a/pool/pause_test.go
+++ b/pool/pause_test.go
@@ -12,7 +12,7 @@
 	"github.com/tanagerbridge/tanagerbridge/pool"
 )
 
-func askPause(p *pool.Pool, now clock.Time, entry pool.Info, pause clock.Span) pool.News {
+func askPause(p *pool.Pool, now clock.Time, entry pool.Info, pause clock.Span) pool.Learned {
 	return p.RecordStatement(now, entry.Process(), pool.Statement{Pause: pause})
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -161,7 +161,7 @@
 	}
 	forgotten := known.delisted && known.Incarnation == 0
 	if forgotten {
-		known.standings = nil // nothing tells whether this is still the same process
+		known.selfReports = nil // nothing tells whether this is still the same process
 	}
 	kind := ""
 	switch {
@@ -169,7 +169,7 @@
 		kind = Restarted
 		restarted := newEndpoint(info)
 		restarted.sends, restarted.prefillBacklog, restarted.memoryTokens = known.sends, known.prefillBacklog, known.memoryTokens
-		restarted.standings = known.standings
+		restarted.selfReports = known.selfReports
 		*known = *restarted
 	case known.delisted:
 		kind = "back"
--- a/pool/statement.go
+++ b/pool/statement.go
@@ -7,9 +7,9 @@
 	"github.com/tanagerbridge/tanagerbridge/ident"
 )
 
-// maxStandings bounds the processes of one endpoint whose statements are kept. More than one is kept
+// maxSelfReports bounds the processes of one endpoint whose statements are kept. More than one is kept
 // so that an older entry of the list cannot take back what the newest process has said.
-const maxStandings = 8
+const maxSelfReports = 8
 
 // Process identifies one process of an endpoint.
 type Process struct {
@@ -27,45 +27,45 @@
 	Malformed bool
 }
 
-// News tells which parts of a statement were not known before.
-type News struct {
+// Learned tells which parts of a statement were not known before.
+type Learned struct {
 	Leaving bool
-	// Paused reports whether a pause has begun; a later end of one is no news.
+	// Paused reports whether a pause has begun; a later end of one is known already.
 	Paused    bool
 	Malformed bool
 }
 
-// standing is what one process of an endpoint has said so far.
-type standing struct {
+// selfReport is what one process of an endpoint has said so far.
+type selfReport struct {
 	leaving   bool
 	malformed bool
 	// pausedUntil is when the endpoint may get requests again, by its own word and in this instance's turn.
 	pausedUntil clock.Time
 }
 
-// standing returns what the current process of the endpoint has said.
-func (e *endpoint) standing() standing { return e.standings[e.Incarnation] }
+// selfReport returns what the current process of the endpoint has said.
+func (e *endpoint) selfReport() selfReport { return e.selfReports[e.Incarnation] }
 
 // leaving reports whether the endpoint must not get new requests because it leaves, according to the
 // list or to itself.
-func (e *endpoint) leaving() bool { return e.Leaving || e.standing().leaving }
+func (e *endpoint) leaving() bool { return e.Leaving || e.selfReport().leaving }
 
-// setStanding keeps what a process has said.
-func (e *endpoint) setStanding(incarnation int64, said standing) {
-	if e.standings == nil {
-		e.standings = make(map[int64]standing)
+// setSelfReport keeps what a process has said.
+func (e *endpoint) setSelfReport(incarnation int64, said selfReport) {
+	if e.selfReports == nil {
+		e.selfReports = make(map[int64]selfReport)
 	}
-	e.standings[incarnation] = said
-	for len(e.standings) > maxStandings {
-		delete(e.standings, e.oldestStanding(incarnation))
+	e.selfReports[incarnation] = said
+	for len(e.selfReports) > maxSelfReports {
+		delete(e.selfReports, e.oldestSelfReport(incarnation))
 	}
 }
 
-// oldestStanding returns the oldest process that has said something, apart from the given one and
+// oldestSelfReport returns the oldest process that has said something, apart from the given one and
 // from the current one.
-func (e *endpoint) oldestStanding(except int64) (oldest int64) {
+func (e *endpoint) oldestSelfReport(except int64) (oldest int64) {
 	found := false
-	for incarnation := range e.standings {
+	for incarnation := range e.selfReports {
 		if incarnation != except && incarnation != e.Incarnation && (!found || incarnation < oldest) {
 			oldest, found = incarnation, true
 		}
@@ -81,28 +81,28 @@
 
 // RecordStatement records what a process has said in an answer and returns what was not known before.
 // A process that has said that it leaves can't take that back.
-func (p *Pool) RecordStatement(now clock.Time, from Process, statement Statement) News {
+func (p *Pool) RecordStatement(now clock.Time, from Process, statement Statement) Learned {
 	known := p.endpoints[from.ID]
 	if known == nil {
-		return News{}
+		return Learned{}
 	}
-	said := known.standings[from.Incarnation]
+	said := known.selfReports[from.Incarnation]
 	before := said
 	until := p.returnTime(now, known, statement.Pause)
 	said.leaving = said.leaving || statement.Leaving
 	said.malformed = said.malformed || statement.Malformed
 	said.pausedUntil = max(said.pausedUntil, until)
 	if said == before {
-		return News{}
+		return Learned{}
 	}
-	known.setStanding(from.Incarnation, said)
+	known.setSelfReport(from.Incarnation, said)
 	if said.pausedUntil > before.pausedUntil {
 		p.pauses[from] = said.pausedUntil
 		if from.Incarnation == known.Incarnation {
 			known.trialLimit = 1
 		}
 	}
-	return News{
+	return Learned{
 		Leaving: said.leaving && !before.leaving, Malformed: said.malformed && !before.malformed,
 		Paused: said.pausedUntil > before.pausedUntil && !now.Before(before.pausedUntil),
 	}
@@ -139,12 +139,12 @@
 	for _, e := range p.service(request.Service).regional {
 		excluded := p.evacuated[e.Zone] || slices.Contains(request.ExcludedEndpoints, e.ID)
 		switch {
-		case e.standing().leaving:
+		case e.selfReport().leaving:
 			if block == BlockNone {
 				block = BlockLeaving
 			}
 		case !e.Leaving && !p.evacuated[e.Zone] && e.paused(now):
-			left := e.standing().pausedUntil.Sub(now)
+			left := e.selfReport().pausedUntil.Sub(now)
 			if block != BlockPaused || left < after {
 				after = left
 			}
--- a/pool/statement_test.go
+++ b/pool/statement_test.go
@@ -18,7 +18,7 @@
 	return entry
 }
 
-func sayLeaving(p *pool.Pool, entry pool.Info) pool.News {
+func sayLeaving(p *pool.Pool, entry pool.Info) pool.Learned {
 	return p.RecordStatement(start, entry.Process(), pool.Statement{Leaving: true})
 }
 
