fix(pool): the process of a send is read without the pool's lock

What callers would see: a statement that is booked to a wrong process, or at worst an instance that ends, if an answer arrives while an update of the list is applied. Cause: Send.Process read the id out of the endpoint's state, which an update of the list replaces. Change: a send keeps the process that it was sent to.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -267,7 +267,7 @@
 	} else {
 		p.active[target.ID] = target
 	}
-	send := &Send{endpoint: target, request: request, choice: choice, started: now, incarnation: target.Incarnation}
+	send := &Send{endpoint: target, request: request, choice: choice, started: now, process: target.Process()}
 	target.sends[send] = struct{}{}
 	target.beginTrial(send)
 	if request.Engine {
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -76,9 +76,9 @@
 	request  Request
 	choice   Choice
 	started  clock.Time
-	// incarnation is that of the endpoint when the send began.
-	incarnation int64
-	answered    bool
+	// process is the process of the endpoint when the send began.
+	process  Process
+	answered bool
 	// trial reports whether the send counts in endpoint.trials.
 	trial bool
 	// excess reports whether the send began although as many trials as allowed were in progress.
--- a/pool/pause.go
+++ b/pool/pause.go
@@ -48,7 +48,7 @@
 // endTrial counts the end of a send. An answer lets the endpoint get twice as many requests, until it
 // gets as many as it has slots.
 func (e *endpoint) endTrial(send *Send, answered bool) {
-	if !send.trial || send.incarnation != e.Incarnation {
+	if !send.trial || send.process.Incarnation != e.Incarnation {
 		return
 	}
 	send.trial = false
--- a/pool/statement.go
+++ b/pool/statement.go
@@ -73,8 +73,9 @@
 	return oldest
 }
 
-// Process returns the process to which a request was sent.
-func (s *Send) Process() Process { return Process{s.endpoint.ID, s.incarnation} }
+// Process returns the process to which a request was sent. Unlike the methods of Pool it may be called at
+// any time.
+func (s *Send) Process() Process { return s.process }
 
 // Process returns the process that an entry of the list describes.
 func (i *Info) Process() Process { return Process{i.ID, i.Incarnation} }
--- a/pool/statement_test.go
+++ b/pool/statement_test.go
@@ -131,7 +131,7 @@
 
 // Guards against memory that grows with the restarts of an endpoint, and against the newest statement being
 // the one that is dropped.
-func TestStandingsAreBounded(t *testing.T) {
+func TestSelfReportsAreBounded(t *testing.T) {
 	p := newPool(process("a", 1))
 	for i := range int64(100) {
 		p.Update(start, start, []pool.Info{process("a", i)}, nil)
@@ -194,3 +194,18 @@
 	_, ok = choose(p, start, plainRequest)
 	require.True(t, ok)
 }
+
+// Guards against a data race: the process of a send is read while an update of the list is applied.
+func TestProcessIsReadBesideUpdates(t *testing.T) {
+	p := newPool(process("a", 7))
+	choice, ok := choose(p, start, pool.Request{Service: "s"})
+	require.True(t, ok)
+	send := p.BeginSend(start, pool.Request{Service: "s"}, choice)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.Update(start, start, []pool.Info{process("a", 8)}, nil)
+	}()
+	require.Equal(t, pool.Process{ID: "a", Incarnation: 7}, send.Process())
+	<-done
+}
