refactor(crash): one bounded table, and what was there already

Cause: Suspects kept its own list and map beside lru, which does the same; the order of parts counted their evidence again although each record keeps its weight; the delay of a trial was doubled by a loop of its own beside clock.Doubled. Change: lru takes any key and serves both tables; candidates uses the weight; nextTrial uses clock.Doubled.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -3,8 +3,6 @@
 package crash
 
 import (
-	"container/list"
-
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -64,9 +62,7 @@
 // concurrent use.
 type Suspects struct {
 	term    clock.Span
-	records map[ident.Fingerprint]*list.Element
-	// recency lists the records, most recently used first.
-	recency *list.List
+	records *lru[ident.Fingerprint, *fingerprintRecord]
 }
 
 // fingerprintRecord is the state of one fingerprint.
@@ -90,11 +86,7 @@
 	if config.Term <= 0 {
 		config.Term = defaultTerm
 	}
-	return &Suspects{
-		term:    config.Term,
-		records: map[ident.Fingerprint]*list.Element{},
-		recency: list.New(),
-	}
+	return &Suspects{term: config.Term, records: newLRU[ident.Fingerprint, *fingerprintRecord](maxRecords)}
 }
 
 // RecordEndpointCrash records the crash of an endpoint with the given requests in flight and
@@ -279,8 +271,10 @@
 // first. At most 64 are returned, since they are part of every probe.
 func (s *Suspects) CrashReports(now clock.Time) []gossip.CrashReport {
 	var reports []gossip.CrashReport
-	for e := s.recency.Front(); e != nil && len(reports) < maxReports; e = e.Next() {
-		record := e.Value.(*fingerprintRecord)
+	for record := range s.records.all() {
+		if len(reports) == maxReports {
+			break
+		}
 		if record.verdict == VerdictClear || !now.Before(record.expires) {
 			continue
 		}
@@ -310,29 +304,21 @@
 
 // get returns the unexpired record of fingerprint, or nil, and marks it as used.
 func (s *Suspects) get(now clock.Time, fingerprint ident.Fingerprint) *fingerprintRecord {
-	element, ok := s.records[fingerprint]
+	record, ok := s.records.get(fingerprint)
 	if !ok {
 		return nil
 	}
-	record := element.Value.(*fingerprintRecord)
 	if !now.Before(record.expires) {
-		s.recency.Remove(element)
-		delete(s.records, fingerprint)
+		s.records.remove(fingerprint)
 		return nil
 	}
-	s.recency.MoveToFront(element)
 	return record
 }
 
 // add creates a record and evicts the least recently used one if there are too many.
 func (s *Suspects) add(fingerprint ident.Fingerprint) *fingerprintRecord {
 	record := &fingerprintRecord{fingerprint: fingerprint}
-	s.records[fingerprint] = s.recency.PushFront(record)
-	if s.recency.Len() > maxRecords {
-		element := s.recency.Back()
-		s.recency.Remove(element)
-		delete(s.records, element.Value.(*fingerprintRecord).fingerprint)
-	}
+	s.records.put(fingerprint, record)
 	return record
 }
 
--- a/crash/parts.go
+++ b/crash/parts.go
@@ -56,8 +56,8 @@
 // so that instances with the same evidence agree. It is not safe for concurrent use.
 type Parts struct {
 	term    clock.Span
-	suspect *lru[*partRecord]
-	cleared *lru[*clearance]
+	suspect *lru[ident.Part, *partRecord]
+	cleared *lru[ident.Part, *clearance]
 	// verdicts holds the refused parts as of the last change, valid before nextExpiry.
 	verdicts   map[ident.Part]PartVerdict
 	changed    bool
@@ -102,7 +102,7 @@
 		config.Term = defaultPartTerm
 	}
 	return &Parts{
-		term: config.Term, suspect: newLRU[*partRecord](maxParts), cleared: newLRU[*clearance](maxClearedParts),
+		term: config.Term, suspect: newLRU[ident.Part, *partRecord](maxParts), cleared: newLRU[ident.Part, *clearance](maxClearedParts),
 		verdicts: make(map[ident.Part]PartVerdict),
 	}
 }
@@ -145,7 +145,8 @@
 	}
 }
 
-// Facts returns what is reported to the other instances: evidence, and the clearances of parts that others have evidence against.
+// Facts returns what is reported to the other instances: evidence, and the clearances of parts that
+// others have evidence against.
 func (p *Parts) Facts(now clock.Time) (facts gossip.PartFacts) {
 	for record := range p.suspect.all() {
 		for _, e := range record.pairs {
@@ -233,10 +234,7 @@
 
 // nextTrial returns when the next trial of the part may begin.
 func (r *partRecord) nextTrial(term clock.Span) clock.Time {
-	delay := firstTrialDelay
-	for range r.trials {
-		delay = min(2*delay, maxTrialDelay)
-	}
+	delay := clock.Doubled(firstTrialDelay, maxTrialDelay, r.trials)
 	return max(r.pairs[0].expires.Add(-term), r.lastTrial).Add(delay)
 }
 
--- a/crash/verdicts.go
+++ b/crash/verdicts.go
@@ -47,16 +47,14 @@
 // comes first, since an unproven part after the cause is at some of its crashes only, and of those at
 // equally many the deepest, since the parts before one are in all of its requests.
 func (p *Parts) candidates() (records []*partRecord) {
-	counts := make(map[ident.Part]int)
 	for record := range p.suspect.all() {
-		verdict := record.weigh(nil)
-		if counts[record.part] = min(verdict.Crashes, verdict.Requests); counts[record.part] >= minPartEvidence {
+		if record.weight >= minPartEvidence {
 			records = append(records, record)
 		}
 	}
 	slices.SortFunc(records, func(a, b *partRecord) int {
 		return cmp.Or(
-			cmp.Compare(min(b.depth, 1), min(a.depth, 1)), cmp.Compare(counts[b.part], counts[a.part]),
+			cmp.Compare(min(b.depth, 1), min(a.depth, 1)), cmp.Compare(b.weight, a.weight),
 			cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part),
 		)
 	})
