refactor(gate): report a panic of a handler in one place

Cause: the panics before and after a request is accepted were told from an abort, counted and logged with the same lines. Change: reportPanic does it for both. Result: behaviour stays as it is; tests of gate, and those of panics, crashes and callers that leave in platform, pass.

--- a/gate/front.go
+++ b/gate/front.go
@@ -96,13 +96,18 @@
 	if cause == nil {
 		return
 	}
+	s.reportPanic(cause)
+	s.setConnectionClose(w.Header())
+	writeError(w, http.StatusBadGateway, caller.RanUnknown, caller.ReasonEndpoint, "internal error", "")
+}
+
+// reportPanic counts and logs a panic of a handler. One that aborts the response goes on.
+func (s *Server) reportPanic(cause any, fields ...zap.Field) {
 	if cause == http.ErrAbortHandler { //nolint:errorlint // net/http compares the value too
 		panic(cause)
 	}
 	s.countPanic()
-	logs.ReportPanic(s.log, cause)
-	s.setConnectionClose(w.Header())
-	writeError(w, http.StatusBadGateway, caller.RanUnknown, caller.ReasonEndpoint, "internal error", "")
+	logs.ReportPanic(s.log, cause, fields...)
 }
 
 // containPanic ends a panic while the request was processed. Since the request may have run, the
@@ -112,11 +117,7 @@
 	if cause == nil {
 		return
 	}
-	if cause == http.ErrAbortHandler { //nolint:errorlint // net/http compares the value too
-		panic(cause)
-	}
-	f.server.countPanic()
-	logs.ReportPanic(f.server.log, cause, zap.String("request", f.meta.AttemptID))
+	f.server.reportPanic(cause, zap.String("request", f.meta.AttemptID))
 	f.fail(http.StatusBadGateway, "internal error")
 }
 
