--- a/gate/conns.go
+++ b/gate/conns.go
@@ -209,7 +209,11 @@
 		return
 	}
 	c.expiring = ""
-	_ = c.TCPConn.SetReadDeadline(time.Time{}) // an error means that the connection is closed
+	var end time.Time
+	if c.state != http.StateActive {
+		end = time.Now().Add(headerTimeout) // the expiry has replaced the deadline that net/http had set
+	}
+	_ = c.TCPConn.SetReadDeadline(end) // an error means that the connection is closed
 }
 
 // SetReadDeadline sets the deadline of reads, unless the connection expires.
@@ -275,8 +279,16 @@
 	c.tracker.server.metrics.recordClose(reason)
 	if c.received && c.state != http.StateActive { // the end of an active request is logged
 		c.tracker.server.metrics.closedInRequest.Inc(1)
-		c.tracker.server.log.Info("connection closed during a request", zap.String("remote", c.RemoteAddr().String()), zap.String("reason", string(reason)))
+		c.tracker.server.log.Info("connection closed during a request", zap.String("remote", c.remote()), zap.String("reason", string(reason)))
+	}
+}
+
+// remote returns the address of the other side, or "" if the connection was reset before it was accepted.
+func (c *trackedConn) remote() string {
+	if address := c.RemoteAddr(); address != nil {
+		return address.String()
 	}
+	return ""
 }
 
 // closeUnused ends the connections on which no request is expected, waits until all others have ended
