fix(pool): the rate that an endpoint names holds for all instances together

Cause: nothing read the statement. Class: a word of an endpoint about its own capacity that the choice does not know.

Evidence: the rates at the endpoints, by 2 s, do not change when they name a limit; 135 requests in 4 s where 43 are allowed, and 310 where 52 are, from one instance each.

Each request and each health check takes a permit, looked at again before a byte is written. Permits of a quiet time are discarded without moving the interval. An instance that announces its end gives up its part of all that the region divides. Permits go to the requests that gain most. Why this holds: the intervals of all instances together never make up more than the rate, and no way to an endpoint avoids MaySend or MayCheck.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -29,9 +29,6 @@
 	inflight := a.inflight
 	parsed := inflight.server.protocol.ResponseMeta(response.StatusCode, response.Header)
 	a.recordStatement(parsed)
-	if a.send != nil && parsed.HasLoad {
-		inflight.server.state.withPool(func(p *pool.Pool, now clock.Time) { p.SetReportedLoad(now, a.destination.local.Endpoint, parsed.Load) })
-	}
 	if a.statesNotRun(response, parsed) {
 		return a.handleRefusal(response, parsed.Moved)
 	}
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -145,6 +145,11 @@
 	// that is no such statement, or empty.
 	Leaving          bool
 	MalformedLeaving string
+	// HasLimit reports whether the endpoint names the rate of requests that it takes from all instances
+	// together, which is then Limit. MalformedLimit is the start of a value that names none, or empty.
+	HasLimit       bool
+	Limit          pool.Rate
+	MalformedLimit string
 	// Pause is how long an endpoint that refuses the request wants no further ones; 0 is no statement.
 	Pause clock.Span
 }
--- a/gate/drain.go
+++ b/gate/drain.go
@@ -96,6 +96,7 @@
 func (s *Server) announce(state mesh.State) {
 	if s.node.State() != state {
 		s.node.SetState(state)
+		s.updateMembers()
 	}
 }
 
--- a/gate/health.go
+++ b/gate/health.go
@@ -60,12 +60,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout.Duration())
 	defer cancel()
+	asked := s.clock.Now()
 	check, meta, err := s.requestHealth(ctx, info.Address, backend.Health, info.ID)
 	if fault.KindOf[relay.Kind](err) == relay.KindWithheld {
 		return
 	}
 	if check.SameEndpoint {
-		s.state.recordStatement(info.Process(), meta, zap.Bool("check", true))
+		s.state.recordStatement(info.Process(), meta, asked, zap.Bool("check", true))
 	}
 	s.state.withPool(func(p *pool.Pool, now clock.Time) { p.RecordCheck(now, info.ID, check) })
 	if err != nil {
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -120,8 +120,10 @@
 	wait   clock.Span
 	cost   clock.Span
 	reason string
-	// blocked reports whether waiting for another destination is useless.
+	// blocked reports whether waiting for another destination is useless, and limited whether that is
+	// because of the rate limits of the endpoints.
 	blocked bool
+	limited bool
 }
 
 // run sends the request until it is answered or has to be given up.
@@ -233,8 +235,10 @@
 	switch block {
 	case pool.BlockLeaving:
 		return destination{reason: string(block), wait: leavingRetryAfter, blocked: true}
-	case pool.BlockPaused:
-		return destination{reason: string(block), wait: after, blocked: after > f.route.TargetLatency/targetWaitDivisor}
+	case pool.BlockPaused, pool.BlockLimited:
+		return destination{
+			reason: string(block), wait: after, blocked: after > f.route.TargetLatency/targetWaitDivisor, limited: block == pool.BlockLimited,
+		}
 	default:
 		return destination{reason: "no endpoint"}
 	}
@@ -264,6 +268,10 @@
 		f.deliverBuffered()
 	case f.mayHaveRun:
 		f.fail(http.StatusBadGateway, target.reason)
+	case target.limited:
+		var after clock.Span
+		f.server.state.withPool(func(p *pool.Pool, now clock.Time) { after = p.ReserveReturn(now, f.placement) })
+		f.refuse(target.reason, max(minRetryAfter, after))
 	default:
 		f.refuse(target.reason, max(minRetryAfter, target.wait))
 	}
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -30,6 +30,8 @@
 	leavings gometrics.Counter
 	// pauses counts the pauses that endpoints have asked for.
 	pauses gometrics.Counter
+	// limits counts the rate limits that endpoints have named, and their changes.
+	limits gometrics.Counter
 	// syncBytes counts the bytes of store data that are sent to other instances.
 	syncBytes gometrics.Counter
 	// meshBytes counts the bytes of datagrams that are sent to other instances.
@@ -44,7 +46,7 @@
 	return &metrics{
 		registry: registry, connections: counter("endpoint.connections"), storeFailures: counter("store.failures"),
 		active: counter("requests.active"), partRefusals: counter("requests.part-refused"), syncBytes: counter("sync.bytes"), panics: counter("panics"), meshBytes: counter("mesh.bytes"),
-		leavings: counter("endpoint.leavings"), pauses: counter("endpoint.pauses"), closedInRequest: counter("connections.closed.in_request"),
+		leavings: counter("endpoint.leavings"), pauses: counter("endpoint.pauses"), limits: counter("endpoint.limits"), closedInRequest: counter("connections.closed.in_request"),
 	}
 }
 
--- a/gate/server.go
+++ b/gate/server.go
@@ -297,8 +297,7 @@
 // maintain closes idle connections and updates the instances that divide cold endpoints among
 // themselves.
 func (s *Server) maintain(context.Context) {
-	names, settled := s.node.RegionMembers()
-	s.state.withPool(func(p *pool.Pool, _ clock.Time) { p.SetMembers(names, settled) })
+	s.updateMembers()
 	now := time.Now()
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
@@ -307,6 +306,12 @@
 	}
 }
 
+// updateMembers tells the pool which instances of the region divide limits among themselves.
+func (s *Server) updateMembers() {
+	names, settled := s.node.RegionMembers()
+	s.state.withPool(func(p *pool.Pool, _ clock.Time) { p.SetMembers(names, settled) })
+}
+
 // Reload applies new settings. Addresses are not changed.
 func (s *Server) Reload(settings Settings) {
 	s.log.Info("settings reloaded", zap.Strings("seeds", settings.Seeds))
--- a/gate/statement.go
+++ b/gate/statement.go
@@ -18,18 +18,29 @@
 	if a.send == nil || response.Moved || response.Endpoint != "" && response.Endpoint != a.destination.local.Endpoint {
 		return
 	}
-	a.inflight.server.state.recordStatement(a.send.Process(), response, zap.String("request", a.inflight.meta.AttemptID))
+	a.inflight.server.state.recordStatement(a.send.Process(), response, a.started, zap.String("request", a.inflight.meta.AttemptID))
 }
 
-// recordStatement passes what a process says about itself to the pool and logs what is new. source
-// names the answer.
-func (s *state) recordStatement(from pool.Process, response ResponseMeta, source zap.Field) {
-	statement := pool.Statement{Leaving: response.Leaving, Pause: response.Pause, Malformed: response.MalformedLeaving != ""}
-	if statement == (pool.Statement{}) {
-		return
+// recordStatement passes what a process says about itself to the pool and logs what is new. asked is when
+// the request was sent that the response answers, and source names the response in the log.
+func (s *state) recordStatement(from pool.Process, response ResponseMeta, asked clock.Time, source zap.Field) {
+	statement := pool.Statement{
+		Leaving: response.Leaving, Pause: response.Pause, Malformed: response.MalformedLeaving != "" || response.MalformedLimit != "",
+		Limit: pool.LimitStatement{Named: response.HasLimit, Rate: response.Limit},
+	}
+	if response.MalformedLimit == "" {
+		statement.Limit.Asked = asked
 	}
 	var learned pool.Learned
-	s.withPool(func(p *pool.Pool, now clock.Time) { learned = p.RecordStatement(now, from, statement) })
+	s.withPool(func(p *pool.Pool, now clock.Time) {
+		learned = p.RecordStatement(now, from, statement)
+		if response.HasLoad {
+			p.SetReportedLoad(now, from.ID, response.Load)
+		}
+	})
+	if learned == (pool.Learned{}) {
+		return
+	}
 	log := s.log.With(zap.String("endpoint", string(from.ID)), zap.Int64("incarnation", from.Incarnation), source)
 	if learned.Leaving {
 		s.metrics.leavings.Inc(1)
@@ -39,8 +50,15 @@
 		s.metrics.pauses.Inc(1)
 		log.Info("endpoint asked for a pause", zap.Int64("pause", int64(statement.Pause)))
 	}
+	if learned.Limited {
+		s.metrics.limits.Inc(1)
+		log.Info("endpoint limits its requests", zap.Float64("rate", float64(statement.Limit.Rate)))
+	}
+	if learned.LimitEnded {
+		log.Info("endpoint no longer limits its requests")
+	}
 	if learned.Malformed {
-		log.Warn("malformed statement of endpoint", zap.String("value", response.MalformedLeaving))
+		log.Warn("malformed statement of endpoint", zap.String("leaving", response.MalformedLeaving), zap.String("limit", response.MalformedLimit))
 	}
 }
 
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -292,14 +292,17 @@
 // alive recently, whether they are reachable or not.
 func (t *Table) KnownCount() int { return len(t.peers) + 1 }
 
-// RegionMembers returns the names of all remembered instances of this region, including this one.
-func (t *Table) RegionMembers() []ident.Entry {
-	names := []ident.Entry{t.self.Name}
+// RegionMembers returns the names of all remembered instances of this region, including this one, but
+// without those that have announced their end. If all have, it returns only this one.
+func (t *Table) RegionMembers() (names []ident.Entry) {
 	for name, p := range t.peers {
-		if p.Region == t.self.Region {
+		if p.Region == t.self.Region && p.State != Closed {
 			names = append(names, name)
 		}
 	}
+	if t.self.State != Closed || len(names) == 0 {
+		names = append(names, t.self.Name)
+	}
 	return names
 }
 
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -323,3 +323,18 @@
 	fleet.round(20)
 	require.Empty(t, fleet.tables["m0"].Regions(fleet.now))
 }
+
+// Guards against an instance that has announced its end and keeps its part of what the region divides, and against a
+// region of which nobody uses the endpoints while its only instance ends.
+func TestRegionMembersWithoutTheClosed(t *testing.T) {
+	table := mesh.NewTable(1000, mesh.Record{Name: "a", Region: "r"}, nil, 1)
+	for i, state := range []mesh.State{mesh.Starting, mesh.Leaving, mesh.Closed} {
+		table.Receive(1000, mesh.Message{From: mesh.Record{Name: ident.Entry(string(rune('b' + i))), Region: "r", Counter: 1, State: state}})
+	}
+	require.ElementsMatch(t, []ident.Entry{"a", "b", "c"}, table.RegionMembers())
+	table.SetState(mesh.Closed)
+	require.ElementsMatch(t, []ident.Entry{"b", "c"}, table.RegionMembers())
+	alone := mesh.NewTable(1000, mesh.Record{Name: "a", Region: "r"}, nil, 1)
+	alone.SetState(mesh.Closed)
+	require.Equal(t, []ident.Entry{"a"}, alone.RegionMembers())
+}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -124,7 +124,9 @@
 			continue
 		}
 		choice, cost := service.estimate(now, candidate, plan.loads[index], plan, plan.missFraction(candidate, regionalBest))
-		if !ok || cost < lowestCost {
+		price := permitCost(now, candidate)
+		choice.Cost += clock.Span(price)
+		if cost += price; !ok || cost < lowestCost {
 			best, ok, lowestCost = choice, true, cost
 		}
 	}
@@ -149,6 +151,9 @@
 	if !candidate.usable(now) || p.evacuated[candidate.Zone] || now.Before(candidate.fullUntil) || !candidate.mayTry() || slices.Contains(request.ExcludedEndpoints, candidate.ID) {
 		return false
 	}
+	if !p.hasPermit(now, candidate, request.Priority) {
+		return false
+	}
 	if request.MaxConnections > 0 && len(candidate.sends) >= p.connectionLimit(request) {
 		return false
 	}
@@ -175,15 +180,25 @@
 }
 
 // topByAffinity returns the two endpoints with the highest rendezvous hash for a prompt's shared
-// prefix. All instances choose the same ones, so that the prefix is computed once.
-func topByAffinity(endpoints []*endpoint, prefixes []prefix, homeRegions []ident.Region) (best [2]*endpoint) {
+// prefix. All instances choose the same ones, so that the prefix is computed once. Endpoints with a rate
+// limit are only chosen if there are no others.
+func topByAffinity(endpoints []*endpoint, prefixes []prefix, homeRegions []ident.Region) [2]*endpoint {
 	key := sharedPrefixKey(prefixes)
 	if key == 0 {
-		return best
+		return [2]*endpoint{}
 	}
+	best := rankByAffinity(endpoints, key, homeRegions, (*endpoint).limited)
+	if best[0] == nil {
+		best = rankByAffinity(endpoints, key, homeRegions, func(*endpoint) bool { return false })
+	}
+	return best
+}
+
+// rankByAffinity returns the two endpoints with the highest rendezvous hash for a key, leaving out some.
+func rankByAffinity(endpoints []*endpoint, key uint64, homeRegions []ident.Region, leaveOut func(*endpoint) bool) (best [2]*endpoint) {
 	var highestHash [2]uint64
 	for _, e := range endpoints {
-		if e.leaving() || e.delisted || len(homeRegions) > 0 && !slices.Contains(homeRegions, e.Region) {
+		if leaveOut(e) || e.leaving() || e.delisted || len(homeRegions) > 0 && !slices.Contains(homeRegions, e.Region) {
 			continue
 		}
 		hash := mixHash(key ^ e.idHash)
@@ -270,6 +285,10 @@
 	send := &Send{endpoint: target, request: request, choice: choice, started: now, process: target.Process()}
 	target.sends[send] = struct{}{}
 	target.beginTrial(send)
+	if target.limited() {
+		send.permitted = p.takePermit(now, target)
+		send.excess = send.excess || !send.permitted
+	}
 	if request.Engine {
 		target.prefillBacklog[clampPriority(request.Priority)] += choice.UncachedTokens
 		target.memoryTokens += choice.UncachedTokens + request.MaxOutputTokens
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -31,6 +31,7 @@
 	// enough of them; 0 is no bound. trials is their number.
 	trialLimit int
 	trials     int
+	permits    permits
 	// delisted reports whether the endpoint has been removed from the published list.
 	delisted bool
 	// missingSince is when the endpoint was removed from the list; 0 if it is listed.
@@ -81,8 +82,11 @@
 	answered bool
 	// trial reports whether the send counts in endpoint.trials.
 	trial bool
-	// excess reports whether the send began although as many trials as allowed were in progress.
+	// excess reports whether the send began although as many trials as allowed were in progress, or
+	// without a permit.
 	excess bool
+	// permitted reports whether the send has a permit of an endpoint with a rate limit.
+	permitted bool
 }
 
 func newEndpoint(info Info) *endpoint {
--- a/pool/pause.go
+++ b/pool/pause.go
@@ -25,13 +25,19 @@
 	if pause <= 0 {
 		return 0
 	}
-	turns := max(1, len(p.members))
-	rank, _ := slices.BinarySearch(p.members, p.config.Self)
-	turn := (uint64(rank) + from.idHash) % uint64(turns) // each endpoint has another order
+	turn, turns := p.turn(from)
 	window := min(maxReturnDelay, clock.Span(turns)*returnInterval/clock.Span(max(1, from.Slots)))
 	return now.Add(min(pause, maxPause) + clock.Span(turn)*window/clock.Span(turns))
 }
 
+// turn returns the position of this instance among those of the region, which take turns at an endpoint,
+// and their number. Each endpoint has another order.
+func (p *Pool) turn(at *endpoint) (turn, turns int) {
+	turns = max(1, len(p.members))
+	rank, _ := slices.BinarySearch(p.members, p.config.Self)
+	return int((uint64(rank) + at.idHash) % uint64(turns)), turns
+}
+
 // mayTry reports whether an endpoint whose pause is over may get one more request: one at first, and
 // more as it answers.
 func (e *endpoint) mayTry() bool { return e.trialLimit == 0 || e.trials < e.trialLimit }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -50,8 +50,8 @@
 	peerReports map[ident.Entry][]*endpoint
 	// pauses holds the processes that have asked for a pause, with its end.
 	pauses map[Process]clock.Time
-	// members are the instances of the region that divide cold endpoints and connections among
-	// themselves, including this one.
+	// members are the instances of the region that divide cold endpoints, connections and rate limits
+	// among themselves. This one is missing before the first SetMembers and while it ends.
 	members []ident.Entry
 	// settled reports whether the other instances have had enough time to announce themselves.
 	settled bool
@@ -71,6 +71,10 @@
 	meanFirstByteMs float64
 	// tokensPerMs is the prefill rate of an endpoint.
 	tokensPerMs float64
+	// unmet is when a request of each priority last found no permit of an endpoint with a rate limit, and
+	// nextReturnMs when the next refused caller is asked to come back, in ms on the clock.
+	unmet        [PriorityLevels]clock.Time
+	nextReturnMs float64
 }
 
 // Estimates used until requests have been observed.
@@ -267,7 +271,7 @@
 	p.evacuated = evacuated
 }
 
-// SetMembers sets the instances of the region, including this one. settled reports whether all
+// SetMembers sets the instances of the region that use endpoints. settled reports whether all
 // existing instances have had enough time to announce themselves.
 func (p *Pool) SetMembers(names []ident.Entry, settled bool) {
 	slices.Sort(names)
@@ -350,7 +354,7 @@
 func (p *Pool) DueChecks(now clock.Time) (due []Info) {
 	for _, s := range p.services {
 		for _, e := range s.regional {
-			if e.needsCheck && !e.leaving() && !e.paused(now) && now.Sub(e.lastChecked) >= healthCheckInterval {
+			if p.needsCheck(now, e) && now.Sub(e.lastChecked) >= healthCheckInterval {
 				e.lastChecked = now
 				due = append(due, e.Info)
 			}
@@ -359,6 +363,18 @@
 	return append(due, p.dueZoneChecks(now)...)
 }
 
+// needsCheck reports whether an endpoint should get a health check and takes one.
+func (p *Pool) needsCheck(now clock.Time, e *endpoint) bool {
+	switch {
+	case e.leaving() || e.paused(now):
+		return false
+	case e.limited():
+		wanted := e.needsCheck || e.selfReport().limit < minRequestLimit
+		return wanted && p.refreshPermits(now, e) && e.permits.wait(now) == 0
+	}
+	return e.needsCheck
+}
+
 // Summary is the capacity of one region for a service.
 type Summary struct {
 	Service ident.Service
@@ -383,14 +399,22 @@
 			if !e.usable(now) || p.evacuated[e.Zone] || avoided[e.Zone] || e.isCold(now) {
 				continue
 			}
+			permitWait, known := clock.Span(0), true
+			if e.limited() {
+				permitWait, known = p.permitWait(now, e)
+			}
+			if !known {
+				continue
+			}
 			load := e.currentLoad(now)
-			summary.Slots += e.Slots
-			summary.FreeSlots += max(0, e.Slots-load.count)
+			slots := e.usableSlots(s.meanServiceMs)
+			summary.Slots += slots
+			summary.FreeSlots += max(0, slots-load.count)
 			backlog.add(load.prefillBacklog)
 			usableEndpoints++
-			slotWait := clock.Span(s.slotWait(now, e, load))
-			if summary.Wait < 0 || slotWait < summary.Wait {
-				summary.Wait = slotWait
+			wait := max(permitWait, clock.Span(s.slotWait(now, e, load)))
+			if summary.Wait < 0 || wait < summary.Wait {
+				summary.Wait = wait
 			}
 		}
 		if summary.Slots > 0 {
--- a/pool/statement.go
+++ b/pool/statement.go
@@ -23,6 +23,7 @@
 	Leaving bool
 	// Pause is how long the endpoint wants no requests from this instance; 0 is no statement.
 	Pause clock.Span
+	Limit LimitStatement
 	// Malformed reports whether a part of the statement could not be parsed.
 	Malformed bool
 }
@@ -31,8 +32,11 @@
 type Learned struct {
 	Leaving bool
 	// Paused reports whether a pause has begun; a later end of one is known already.
-	Paused    bool
-	Malformed bool
+	Paused bool
+	// Limited reports whether a rate limit has begun or changed, LimitEnded whether one has ended.
+	Limited    bool
+	LimitEnded bool
+	Malformed  bool
 }
 
 // selfReport is what one process of an endpoint has said so far.
@@ -41,6 +45,11 @@
 	malformed bool
 	// pausedUntil is when the endpoint may get requests again, by its own word and in this instance's turn.
 	pausedUntil clock.Time
+	// limited reports whether the process limits the rate of requests to limit, and limitNamed is when it
+	// last said so.
+	limited    bool
+	limit      Rate
+	limitNamed clock.Time
 }
 
 // selfReport returns what the current process of the endpoint has said.
@@ -87,38 +96,60 @@
 	if known == nil {
 		return Learned{}
 	}
-	said := known.selfReports[from.Incarnation]
-	before := said
-	until := p.returnTime(now, known, statement.Pause)
+	before := known.selfReports[from.Incarnation]
+	said := before
 	said.leaving = said.leaving || statement.Leaving
 	said.malformed = said.malformed || statement.Malformed
-	said.pausedUntil = max(said.pausedUntil, until)
+	said.pausedUntil = max(said.pausedUntil, p.returnTime(now, known, statement.Pause))
+	said.applyLimit(now, statement.Limit)
 	if said == before {
 		return Learned{}
 	}
 	known.setSelfReport(from.Incarnation, said)
+	learned := said.learnedSince(before, now)
 	if said.pausedUntil > before.pausedUntil {
 		p.pauses[from] = said.pausedUntil
-		if from.Incarnation == known.Incarnation {
-			known.trialLimit = 1
-		}
 	}
+	if from.Incarnation != known.Incarnation {
+		return learned
+	}
+	if said.limited != before.limited {
+		known.permits = permits{}
+	}
+	if said.pausedUntil > before.pausedUntil || learned.LimitEnded {
+		known.trialLimit = 1
+	}
+	return learned
+}
+
+// learnedSince tells what a report has that the one before it has not.
+func (r selfReport) learnedSince(before selfReport, now clock.Time) Learned {
 	return Learned{
-		Leaving: said.leaving && !before.leaving, Malformed: said.malformed && !before.malformed,
-		Paused: said.pausedUntil > before.pausedUntil && !now.Before(before.pausedUntil),
+		Leaving:    r.leaving && !before.leaving,
+		Paused:     r.pausedUntil > before.pausedUntil && !now.Before(before.pausedUntil),
+		Limited:    r.limited && (!before.limited || r.limit != before.limit),
+		LimitEnded: before.limited && !r.limited,
+		Malformed:  r.malformed && !before.malformed,
 	}
 }
 
 // MaySend reports whether the endpoint of a send that has begun still takes requests. It is called
-// right before the request is written.
+// right before the request is written and takes a permit if the endpoint limits their rate.
 func (p *Pool) MaySend(now clock.Time, send *Send) bool {
-	return !send.excess && !send.endpoint.leaving() && !send.endpoint.paused(now)
+	if send.excess || send.endpoint.leaving() || send.endpoint.paused(now) {
+		return false
+	}
+	if send.endpoint.limited() && !send.permitted {
+		send.permitted = p.takePermit(now, send.endpoint)
+		return send.permitted
+	}
+	return true
 }
 
 // MayCheck is the same for a health check.
 func (p *Pool) MayCheck(now clock.Time, id ident.Endpoint) bool {
 	known := p.endpoints[id]
-	return known != nil && !known.leaving() && !known.paused(now)
+	return known != nil && !known.leaving() && !known.paused(now) && (!known.limited() || p.takePermit(now, known))
 }
 
 // Block tells why no endpoint of the region takes a request.
@@ -132,27 +163,51 @@
 	BlockLeaving Block = "endpoints leaving"
 	// BlockPaused: all of them leave or have asked for a pause, at least one for a pause.
 	BlockPaused Block = "endpoints paused"
+	// BlockLimited: all of them leave, have asked for a pause or limit the rate of requests, and this
+	// instance has no permit for any that does.
+	BlockLimited Block = "endpoints limited"
 )
 
 // Blocked tells whether waiting for an endpoint of the region is useless because all that could serve
 // the request have said so, and after what time the first of them takes requests again if that is known.
+// A request that found no permit comes before less urgent ones for a short time.
 func (p *Pool) Blocked(now clock.Time, request Request) (block Block, after clock.Span) {
-	for _, e := range p.service(request.Service).regional {
+	service := p.service(request.Service)
+	for _, e := range service.regional {
 		excluded := p.evacuated[e.Zone] || slices.Contains(request.ExcludedEndpoints, e.ID)
+		reason, wait := p.blockOf(now, e, request)
 		switch {
-		case e.selfReport().leaving:
+		case reason == BlockLeaving:
 			if block == BlockNone {
 				block = BlockLeaving
 			}
-		case !e.Leaving && !p.evacuated[e.Zone] && e.paused(now):
-			left := e.selfReport().pausedUntil.Sub(now)
-			if block != BlockPaused || left < after {
-				after = left
+		case !e.Leaving && !p.evacuated[e.Zone] && reason != BlockNone:
+			if block == BlockNone || block == BlockLeaving || wait < after {
+				block, after = reason, wait
 			}
-			block = BlockPaused
 		case !e.Leaving && !excluded:
 			return BlockNone, 0
 		}
 	}
+	if block == BlockLimited {
+		service.unmet[clampPriority(request.Priority)] = now
+	}
 	return block, after
 }
+
+// blockOf tells whether an endpoint has said that it takes no request now, and for how long.
+func (p *Pool) blockOf(now clock.Time, e *endpoint, request Request) (Block, clock.Span) {
+	switch {
+	case e.selfReport().leaving:
+		return BlockLeaving, 0
+	case e.paused(now):
+		return BlockPaused, e.selfReport().pausedUntil.Sub(now)
+	case e.limited() && !p.hasPermit(now, e, request.Priority):
+		wait, known := p.permitWait(now, e)
+		if !known {
+			wait = maxReturnQueue
+		}
+		return BlockLimited, max(wait, 1)
+	}
+	return BlockNone, 0
+}
