feat(gate): log answers of the store that are ignored as older

An answer that was dropped because of its revision left no line, so that the hypotheses on the restore could not be told apart. No decision is changed.

--- a/gate/data.go
+++ b/gate/data.go
@@ -16,6 +16,7 @@
 	s.recordAnswer()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.logOlder("endpoints", update.Revision, s.listing.revision)
 	malformed := s.listing.applyUpdate(update, s.source.EndpointPrefix(), s.source.Endpoint)
 	for _, key := range malformed {
 		s.log.Warn("malformed endpoint entry", zap.String("key", key))
@@ -28,9 +29,18 @@
 	s.recordAnswer()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.logOlder("control", update.Revision, s.control.Revision)
 	s.applyControl(s.control.Apply(update))
 }
 
+// logOlder logs that an answer of the store is ignored because it is older than what is known.
+func (s *state) logOlder(content string, answer, known store.Revision) {
+	if answer < known {
+		s.log.Info("older data of the store ignored", zap.String("followed", content),
+			zap.Int64("revision", int64(answer)), zap.Int64("known", int64(known)))
+	}
+}
+
 // applySync applies what another instance has answered.
 func (s *state) applySync(received syncResponse) {
 	s.mu.Lock()
