fix(store): order what the store says by era and revision

Cause: the store's revisions went back and were given out again. Lower ones were ignored, and one that came again was taken for the change that it had named before. Class: an order taken from a counter whose life is shorter than the system's.

Change: store.Position is era and revision and compares itself; followers, the list, the control data and what instances tell each other order by it. The highest version stays in force and is told apart from the store's data. Why this works: a position never comes again, and what the copy may lack is only lost for the time in which it is written again.

--- a/gate/data.go
+++ b/gate/data.go
@@ -1,12 +1,12 @@
 package gate
 
 import (
+	"maps"
 	"slices"
 
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
-	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 	"github.com/tanagerbridge/tanagerbridge/store"
 )
@@ -16,7 +16,8 @@
 	s.recordAnswer()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.logOlder("endpoints", update.Revision, s.listing.revision)
+	s.recordEra(update.Position.Era)
+	s.logOlder("endpoints", update.Position, s.listing.position)
 	malformed := s.listing.applyUpdate(update, s.source.EndpointPrefix(), s.source.Endpoint)
 	for _, key := range malformed {
 		s.log.Warn("malformed endpoint entry", zap.String("key", key))
@@ -24,42 +25,66 @@
 	s.publishList()
 }
 
-// applyOwnControl applies an update of the configuration that this instance has read itself.
+// applyOwnControl applies an update of the operator's data that this instance has read itself.
 func (s *state) applyOwnControl(update store.Update) {
 	s.recordAnswer()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.logOlder("control", update.Revision, s.control.Revision)
-	s.applyControl(s.control.Apply(update))
+	s.recordEra(update.Position.Era)
+	s.logOlder("control", update.Position, s.control.newest().Position)
+	s.applyControl(update)
 }
 
 // logOlder logs that an answer of the store is ignored because it is older than what is known.
-func (s *state) logOlder(content string, answer, known store.Revision) {
-	if answer < known {
-		s.log.Info("older data of the store ignored", zap.String("followed", content),
-			zap.Int64("revision", int64(answer)), zap.Int64("known", int64(known)))
+func (s *state) logOlder(content string, answer, known store.Position) {
+	if answer.Before(known) {
+		s.log.Info("older data of the store ignored", zap.String("followed", content), zap.Int64("era", int64(answer.Era)),
+			zap.Int64("revision", int64(answer.Revision)), zap.Int64("known", int64(known.Revision)))
 	}
 }
 
+// recordEra records an era of the store. In a later one than before, the store has come back from a copy:
+// entries and evacuations that the copy lacks or still has are written again soon. The lock must be held.
+func (s *state) recordEra(era store.Era) {
+	if era <= s.era {
+		return
+	}
+	if s.listing.position.Known() || s.control.settled.Position.Known() {
+		s.restoredAt = s.clock.Now()
+		s.pool.RecordRestore(s.restoredAt)
+		s.log.Warn("store came back from a copy", zap.Int64("era", int64(era)), zap.Int64("before", int64(s.era)),
+			zap.Int64("known", int64(s.listing.position.Revision)))
+	}
+	s.era = era
+}
+
 // applySync applies what another instance has answered.
 func (s *state) applySync(received syncResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
+	s.recordEra(max(received.Era, received.List.At.Era, received.ControlPosition.Era))
 	s.listDiffers = s.listing.applyDelta(now, received.List)
-	if s.listing.revision > 0 {
+	if s.listing.position.Known() {
 		s.publishList()
 	}
-	control := store.Update{Whole: true, Revision: received.ControlRevision, Read: now.Add(-received.ControlAge)}
-	switch {
-	case received.Control != nil:
-		for _, i := range received.Control {
-			control.Items = append(control.Items, i)
-		}
-		s.applyControl(s.control.Apply(control))
-	case received.ControlRevision == s.control.Revision:
-		s.control.Read = max(s.control.Read, control.Read)
+	s.applySyncedControl(now, received)
+}
+
+// applySyncedControl applies the operator's data that another instance has answered. The lock must be held.
+func (s *state) applySyncedControl(now clock.Time, received syncResponse) {
+	update := store.Update{
+		Whole: true, Position: received.ControlPosition, Read: now.Add(-received.ControlAge), Items: slices.Collect(maps.Values(received.Control)),
+	}
+	if received.InForce != nil {
+		s.applyTable(store.Snapshot{Items: received.InForce, Position: received.ControlPosition})
+	}
+	if received.Control != nil {
+		s.applyControl(update)
+		return
 	}
+	s.control.confirm(update.Position, update.Read)
+	s.settleControl()
 }
 
 // publishList passes the changes of the list to the pool. The lock must be held.
@@ -73,61 +98,13 @@
 	}
 	for _, c := range changes {
 		s.log.Info("endpoint "+c.Kind, zap.String("endpoint", string(c.Endpoint)),
-			zap.String("service", string(c.Service)), zap.Int64("revision", int64(s.listing.revision)))
+			zap.String("service", string(c.Service)), zap.Int64("revision", int64(s.listing.position.Revision)))
 		if c.Kind == pool.Restarted {
 			s.recordCrash(now, c.Endpoint)
 		}
 	}
 }
 
-// applyControl applies a new configuration and new evacuations. The lock must be held.
-func (s *state) applyControl(snapshot store.Snapshot) {
-	if snapshot.Revision < s.control.Revision {
-		return
-	}
-	changed := s.control.Items == nil || !sameItems(s.control.Items, snapshot.Items)
-	if !changed {
-		s.control = snapshot
-		return
-	}
-	table, zones, err := s.source.Control(snapshot)
-	if err != nil {
-		s.log.Error("malformed configuration, keeping the version in force", zap.Error(err),
-			zap.Int64("revision", int64(snapshot.Revision)))
-	}
-	s.control = snapshot
-	slices.Sort(zones)
-	s.pool.SetEvacuatedZones(zones)
-	if table == nil {
-		return
-	}
-	before := ident.Version(0)
-	if previous := s.table.Load(); previous != nil {
-		if table.Version <= previous.Version {
-			return
-		}
-		before = previous.Version
-	}
-	s.table.Store(table)
-	s.log.Info("configuration in force", zap.Uint64("version", uint64(table.Version)),
-		zap.Uint64("before", uint64(before)), zap.Int("routes", len(table.Routes)),
-		zap.Int64("revision", int64(snapshot.Revision)))
-}
-
-// sameItems reports whether two sets of items have the same keys, each last changed at the same
-// revision.
-func sameItems(a, b map[string]store.Item) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for key, item := range a {
-		if other, ok := b[key]; !ok || other.Changed != item.Changed {
-			return false
-		}
-	}
-	return true
-}
-
 // recordAnswer records that the store, or an instance that reads it, answered this one.
 func (s *state) recordAnswer() {
 	s.mu.Lock()
@@ -142,24 +119,24 @@
 	return s.answeredAt
 }
 
-// listRevision returns the revision of the list, and controlRevision that of the configuration.
-func (s *state) listRevision() store.Revision {
+// listPosition returns the position of the list, and controlPosition that of the operator's data.
+func (s *state) listPosition() store.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.listing.revision
+	return s.listing.position
 }
 
-func (s *state) controlRevision() store.Revision {
+func (s *state) controlPosition() store.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.control.Revision
+	return s.control.newest().Position
 }
 
 // syncURI returns the URI at which another instance tells what is newer than the data of this one.
 func (s *state) syncURI() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	query := syncQuery{list: s.listing.revision, control: s.control.Revision}
+	query := syncQuery{list: s.listing.position, control: s.control.newest().Position, version: s.control.version}
 	if s.listDiffers {
 		query.digests = &s.listing.digests
 	}
@@ -172,12 +149,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	response = syncResponse{ControlRevision: s.control.Revision, ControlAge: now.Sub(s.control.Read)}
-	if s.listing.revision > 0 {
+	response = syncResponse{Era: s.era, ControlPosition: s.control.settled.Position, ControlAge: now.Sub(s.control.settled.Read)}
+	if s.listing.position.Known() {
 		response.List = s.listing.since(now, query.list, query.digests)
 	}
-	if query.control < s.control.Revision {
-		response.Control = s.control.Items
-	}
+	response.Control, response.InForce = s.control.after(query)
 	return response, response.List.Whole
 }
--- a/gate/follow.go
+++ b/gate/follow.go
@@ -60,7 +60,7 @@
 		case !s.state.listed.Load():
 			s.fetchFirstList(ctx, follower, &retry)
 		case s.readsStore():
-			follower.Resume(s.state.listRevision())
+			follower.Resume(s.state.listPosition())
 			follower.Step(ctx)
 		case s.syncWithReaders(ctx):
 			clock.Sleep(ctx, syncInterval)
@@ -99,7 +99,7 @@
 		case !known && !s.mayReadFirst(s.regionPeers()):
 			clock.Sleep(ctx, startupRetry)
 		default:
-			follower.Resume(s.state.controlRevision())
+			follower.Resume(s.state.controlPosition())
 			follower.Step(ctx)
 		}
 	}
--- a/gate/listing.go
+++ b/gate/listing.go
@@ -48,14 +48,15 @@
 // listEntry is one endpoint of the list.
 type listEntry struct {
 	Info pool.Info
-	// Changed is the revision of the last change other than a heartbeat.
-	Changed store.Revision
+	// Changed is the position of the last change other than a heartbeat.
+	Changed store.Position
 }
 
-// visible returns the part of an entry whose change is forwarded. The remaining cold time changes
-// with each heartbeat; only cold or not is compared.
+// visible returns the part of an entry whose change is forwarded. The sequence number and the remaining
+// cold time change with each heartbeat; of the latter, only cold or not is compared.
 func (e listEntry) visible() pool.Info {
 	info := e.Info
+	info.Sequence = 0
 	if info.ColdRemaining > 0 {
 		info.ColdRemaining = 1
 	}
@@ -71,20 +72,20 @@
 // departure is an endpoint that was removed from the list.
 type departure struct {
 	id       ident.Endpoint
-	revision store.Revision
+	position store.Position
 }
 
-// listing is the list of endpoints, with the revision of each change so that other instances can be
-// told what has changed. It never goes back to an older revision.
+// listing is the list of endpoints, with the position of each change so that other instances can be
+// told what has changed. It never goes back to an older position.
 type listing struct {
 	entries    map[ident.Endpoint]listEntry
 	departures []departure
 	digests    digests
-	// firstRevision is the revision from which changes can be told, and revision that of the list.
-	firstRevision store.Revision
-	revision      store.Revision
-	// lastChange is the newest revision of an entry or a departure.
-	lastChange store.Revision
+	// first is the position from which changes can be told, and position that of the list.
+	first    store.Position
+	position store.Position
+	// lastChange is the latest position of an entry or a departure.
+	lastChange store.Position
 	// read is the time as of which the list is complete.
 	read clock.Time
 	// unpublished holds the endpoints that were changed or removed since the last takeUnpublished.
@@ -125,11 +126,11 @@
 	l.digests[bucketOf(id)] += entry.hash()
 	l.entries[id] = entry
 	l.unpublished[id] = struct{}{}
-	l.lastChange = max(l.lastChange, entry.Changed)
+	l.lastChange = store.Latest(l.lastChange, entry.Changed)
 }
 
 // remove deletes an entry.
-func (l *listing) remove(id ident.Endpoint, at store.Revision) {
+func (l *listing) remove(id ident.Endpoint, at store.Position) {
 	known, exists := l.entries[id]
 	if !exists {
 		return
@@ -138,16 +139,16 @@
 	delete(l.entries, id)
 	l.unpublished[id] = struct{}{}
 	l.departures = append(l.departures, departure{id, at})
-	l.lastChange = max(l.lastChange, at)
+	l.lastChange = store.Latest(l.lastChange, at)
 	if excess := len(l.departures) - maxDepartures; excess > 0 {
-		l.firstRevision = max(l.firstRevision, l.departures[excess-1].revision)
+		l.first = store.Latest(l.first, l.departures[excess-1].position)
 		l.departures = slices.Clone(l.departures[excess:])
 	}
 }
 
 // keepOnly removes the entries in the given buckets, or in all if there are none, whose id is not
 // in kept.
-func (l *listing) keepOnly(kept map[ident.Endpoint]bool, buckets []int, at store.Revision) {
+func (l *listing) keepOnly(kept map[ident.Endpoint]bool, buckets []int, at store.Position) {
 	for id := range l.entries {
 		if kept[id] || len(buckets) > 0 && !slices.Contains(buckets, bucketOf(id)) {
 			continue
@@ -156,18 +157,18 @@
 	}
 }
 
-// advance sets the revision and the time as of which the list is complete.
-func (l *listing) advance(revision store.Revision, read clock.Time) {
-	if l.firstRevision == 0 {
-		l.firstRevision = revision
+// advance sets the position and the time as of which the list is complete.
+func (l *listing) advance(position store.Position, read clock.Time) {
+	if !l.first.Known() {
+		l.first = position
 	}
-	l.revision, l.read = revision, max(l.read, read)
+	l.position, l.read = position, max(l.read, read)
 }
 
-// applyUpdate applies what a call to the store has shown and returns the malformed items. An update
-// older than the list has no effect.
+// applyUpdate applies what a call to the store has shown and returns the malformed items. An update that
+// does not continue the list has no effect.
 func (l *listing) applyUpdate(update store.Update, prefix string, parse func(store.Item) (pool.Info, error)) (malformed []string) {
-	if update.Revision < l.revision {
+	if !update.Continues(l.position) {
 		return nil
 	}
 	kept := make(map[ident.Endpoint]bool, len(update.Items))
@@ -176,23 +177,23 @@
 		if err != nil {
 			malformed = append(malformed, item.Key)
 			// A malformed entry names no endpoint to use.
-			l.remove(ident.Endpoint(strings.TrimPrefix(item.Key, prefix)), update.Revision)
+			l.remove(ident.Endpoint(strings.TrimPrefix(item.Key, prefix)), update.Position)
 			continue
 		}
 		kept[info.ID] = true
 		l.put(listEntry{info, item.Changed})
 	}
 	for _, key := range update.Deleted {
-		l.remove(ident.Endpoint(strings.TrimPrefix(key, prefix)), update.Revision)
+		l.remove(ident.Endpoint(strings.TrimPrefix(key, prefix)), update.Position)
 	}
 	if update.Whole {
-		l.keepOnly(kept, nil, update.Revision)
+		l.keepOnly(kept, nil, update.Position)
 	}
-	l.advance(update.Revision, update.Read)
+	l.advance(update.Position, update.Read)
 	return malformed
 }
 
-// listDelta is the set of changes of the list after a revision, as told to another instance.
+// listDelta is the set of changes of the list after a position, as told to another instance.
 type listDelta struct {
 	// Whole reports whether Entries is the whole list.
 	Whole   bool
@@ -200,29 +201,29 @@
 	Gone    []ident.Endpoint
 	// Buckets lists the buckets of which Entries has all entries.
 	Buckets []int
-	At      store.Revision
+	At      store.Position
 	Age     clock.Span
 	// Digest is the digest of the whole list.
 	Digest uint64
 }
 
-// since returns the changes for an instance that has the list as of a revision. If it also gives
+// since returns the changes for an instance that has the list as of a position. If it also gives
 // its digests, the entries of differing buckets are added.
-func (l *listing) since(now clock.Time, after store.Revision, theirs *digests) listDelta {
-	delta := listDelta{At: l.revision, Age: now.Sub(l.read), Digest: l.digests.total(), Whole: after < l.firstRevision}
+func (l *listing) since(now clock.Time, after store.Position, theirs *digests) listDelta {
+	delta := listDelta{At: l.position, Age: now.Sub(l.read), Digest: l.digests.total(), Whole: after.Before(l.first)}
 	if theirs != nil && !delta.Whole {
 		delta.Buckets = l.digests.differing(theirs)
 	}
-	if !delta.Whole && len(delta.Buckets) == 0 && after >= l.lastChange {
+	if !delta.Whole && len(delta.Buckets) == 0 && !after.Before(l.lastChange) {
 		return delta // most queries find nothing new
 	}
 	for id, e := range l.entries {
-		if delta.Whole || e.Changed > after || len(delta.Buckets) > 0 && slices.Contains(delta.Buckets, bucketOf(id)) {
+		if delta.Whole || after.Before(e.Changed) || len(delta.Buckets) > 0 && slices.Contains(delta.Buckets, bucketOf(id)) {
 			delta.Entries = append(delta.Entries, e)
 		}
 	}
 	for _, d := range l.departures {
-		if _, back := l.entries[d.id]; !delta.Whole && !back && d.revision > after {
+		if _, back := l.entries[d.id]; !delta.Whole && !back && after.Before(d.position) {
 			delta.Gone = append(delta.Gone, d.id)
 		}
 	}
@@ -232,7 +233,7 @@
 // applyDelta applies the changes received from another instance and reports whether the list differs
 // from that of the other instance afterwards. Changes older than the list have no effect.
 func (l *listing) applyDelta(now clock.Time, delta listDelta) (differs bool) {
-	if delta.At < l.revision || l.revision == 0 && !delta.Whole {
+	if delta.At.Before(l.position) || !l.position.Known() && !delta.Whole {
 		return false
 	}
 	kept := make(map[ident.Endpoint]bool, len(delta.Entries))
--- a/gate/listing_test.go
+++ b/gate/listing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -23,9 +24,12 @@
 	return pool.Info{ID: ident.Endpoint(item.Key[2:]), Address: string(item.Value)}, nil
 }
 
+// at returns a position in the first era.
+func at(revision store.Revision) store.Position { return store.Position{Revision: revision} }
+
 // wholeUpdate returns the update of a read of the whole list.
-func wholeUpdate(items map[string]store.Item, revision store.Revision, now clock.Time) store.Update {
-	update := store.Update{Whole: true, Revision: revision, Read: now}
+func wholeUpdate(items map[string]store.Item, position store.Position, now clock.Time) store.Update {
+	update := store.Update{Whole: true, Position: position, Read: now}
 	for _, i := range items {
 		update.Items = append(update.Items, i)
 	}
@@ -36,45 +40,81 @@
 type listWorld struct {
 	truth    map[string]store.Item
 	log      []store.Event
-	revision store.Revision
+	position store.Position
 	now      clock.Time
 	readers  []*listing
 	own      *listing
 	differs  bool
+	// copies holds earlier contents of the store.
+	copies []storeCopy
 	// published holds what the third instance has passed on, by key.
 	published map[string]string
 }
 
+// storeCopy is the content of a store at some time.
+type storeCopy struct {
+	truth    map[string]store.Item
+	log      []store.Event
+	revision store.Revision
+}
+
+// backUp takes a copy of the store.
+func (w *listWorld) backUp() {
+	w.copies = append(w.copies, storeCopy{maps.Clone(w.truth), slices.Clone(w.log), w.position.Revision})
+}
+
+// restore lets the store come back from its last copy.
+func (w *listWorld) restore() {
+	if len(w.copies) == 0 {
+		return
+	}
+	last := w.copies[len(w.copies)-1]
+	w.position = store.Position{Era: w.position.Era + 1, Revision: last.revision}
+	w.truth, w.log = make(map[string]store.Item), nil
+	for key, item := range last.truth {
+		item.Changed.Era = w.position.Era
+		w.truth[key] = item
+	}
+	for _, e := range last.log {
+		e.Changed.Era = w.position.Era
+		w.log = append(w.log, e)
+	}
+}
+
 func newListWorld() *listWorld {
 	return &listWorld{
-		truth: make(map[string]store.Item), revision: 1, now: 1000, readers: []*listing{newListing(), newListing()}, own: newListing(),
+		truth: make(map[string]store.Item), position: at(1), now: 1000, readers: []*listing{newListing(), newListing()}, own: newListing(),
 		published: make(map[string]string),
 	}
 }
 
 func (w *listWorld) put(key, value string) {
-	w.revision++
-	w.truth[key] = store.Item{Key: key, Changed: w.revision, Value: []byte(value)}
+	w.position.Revision++
+	w.truth[key] = store.Item{Key: key, Changed: w.position, Value: []byte(value)}
 	w.log = append(w.log, store.Event{Item: w.truth[key]})
 }
 
 func (w *listWorld) remove(key string) {
-	w.revision++
+	w.position.Revision++
 	delete(w.truth, key)
-	w.log = append(w.log, store.Event{Item: store.Item{Key: key, Changed: w.revision}, Deleted: true})
+	w.log = append(w.log, store.Event{Item: store.Item{Key: key, Changed: w.position}, Deleted: true})
 }
 
 // read lets a reader read the whole list.
 func (w *listWorld) read(reader int) {
-	w.readers[reader].applyUpdate(wholeUpdate(w.truth, w.revision, w.now), "e/", parseTestItem)
+	w.readers[reader].applyUpdate(wholeUpdate(w.truth, w.position, w.now), "e/", parseTestItem)
 }
 
-// watch lets a reader make a watch call.
+// watch lets a reader make a watch call. In a new era, it reads the whole list instead.
 func (w *listWorld) watch(reader int) {
-	update := store.Update{Revision: w.revision, Read: w.now}
+	if w.readers[reader].position.Era != w.position.Era {
+		w.read(reader)
+		return
+	}
+	update := store.Update{Position: w.position, Read: w.now}
 	last := make(map[string]store.Event)
 	for _, e := range w.log {
-		if e.Changed > w.readers[reader].revision {
+		if w.readers[reader].position.Before(e.Changed) {
 			last[e.Key] = e
 		}
 	}
@@ -94,7 +134,7 @@
 	if w.differs {
 		theirs = &w.own.digests
 	}
-	w.differs = w.own.applyDelta(w.now, w.readers[reader].since(w.now, w.own.revision, theirs))
+	w.differs = w.own.applyDelta(w.now, w.readers[reader].since(w.now, w.own.position, theirs))
 	changed, removed := w.own.takeUnpublished()
 	for _, i := range changed {
 		w.published["e/"+string(i.ID)] = i.Address
@@ -104,8 +144,8 @@
 	}
 }
 
-// Guards, over random interleavings of changes, reads and watch calls by two instances and queries
-// of a third one to either, against a list that misses a change, keeps removed endpoints or goes
+// Guards, over random interleavings of changes, reads and watch calls by two instances, queries of a
+// third one to either and restores of the store from a copy, against a list that misses a change, keeps removed endpoints or goes
 // back to an older state.
 func TestListOfReaders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -116,8 +156,8 @@
 			world.now++
 			reader := rapid.IntRange(0, 1).Draw(t, "reader")
 			key := fmt.Sprint("e/", rapid.IntRange(0, 4).Draw(t, "key"))
-			before := world.own.revision
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			before := world.own.position
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0:
 				world.put(key, fmt.Sprint("a", rapid.IntRange(0, 2).Draw(t, "value")))
 			case 1:
@@ -128,11 +168,15 @@
 				world.watch(reader)
 			case 4:
 				world.query(reader)
+			case 5:
+				world.backUp()
+			case 6:
+				world.restore()
 			}
-			require.GreaterOrEqual(t, world.own.revision, before)
+			require.False(t, world.own.position.Before(before))
 		}
 		last := rapid.IntRange(0, 1).Draw(t, "last")
-		world.revision++
+		world.position.Revision++
 		world.read(last)
 		world.query(last)
 		world.query(last) // the second query repairs a digest mismatch found by the first
@@ -168,16 +212,16 @@
 // Guards against heartbeats that are forwarded as changes.
 func TestHeartbeatsAreNoChange(t *testing.T) {
 	list := newListing()
-	at := func(revision store.Revision, cold clock.Span) {
-		list.applyUpdate(store.Update{Whole: true, Revision: revision, Items: []store.Item{{Key: "e/a", Value: []byte("x"), Changed: revision}}}, "e/",
+	apply := func(revision store.Revision, cold clock.Span) {
+		list.applyUpdate(store.Update{Whole: true, Position: at(revision), Items: []store.Item{{Key: "e/a", Value: []byte("x"), Changed: at(revision)}}}, "e/",
 			func(store.Item) (pool.Info, error) { return pool.Info{ID: "a", ColdRemaining: cold}, nil })
 	}
-	at(5, 900)
-	at(6, 400)
-	require.Empty(t, list.since(0, 5, nil).Entries)
-	at(7, 0)
-	require.Len(t, list.since(0, 6, nil).Entries, 1, "the endpoint is no longer cold")
-	require.True(t, list.since(0, 4, nil).Whole, "the revision precedes the first read")
+	apply(5, 900)
+	apply(6, 400)
+	require.Empty(t, list.since(0, at(5), nil).Entries)
+	apply(7, 0)
+	require.Len(t, list.since(0, at(6), nil).Entries, 1, "the endpoint is no longer cold")
+	require.True(t, list.since(0, at(4), nil).Whole, "the revision precedes the first read")
 }
 
 // Guards against a whole list that is sent because of a few differing entries.
@@ -186,15 +230,15 @@
 	items := make(map[string]store.Item)
 	for i := range 3000 {
 		key := fmt.Sprint("e/", i)
-		items[key] = store.Item{Key: key, Value: []byte("x"), Changed: 1}
+		items[key] = store.Item{Key: key, Value: []byte("x"), Changed: at(1)}
 	}
-	reader.applyUpdate(wholeUpdate(items, 1, 0), "e/", parseTestItem)
-	delta := reader.since(0, 0, nil)
+	reader.applyUpdate(wholeUpdate(items, at(1), 0), "e/", parseTestItem)
+	delta := reader.since(0, at(0), nil)
 	require.True(t, delta.Whole)
 	delta.Entries = delta.Entries[:2998] // two entries are lost
 	differs := other.applyDelta(0, delta)
 	require.True(t, differs)
-	repair := reader.since(0, other.revision, &other.digests)
+	repair := reader.since(0, other.position, &other.digests)
 	require.False(t, repair.Whole)
 	require.Less(t, len(repair.Entries), 200)
 	differs = other.applyDelta(0, repair)
@@ -205,19 +249,19 @@
 // Guards against a departed endpoint that is in use again, because an instance with older data, or
 // an answer that was read earlier, is believed.
 func TestOlderListChangesNothing(t *testing.T) {
-	items := map[string]store.Item{"e/a": {Key: "e/a", Value: []byte("x"), Changed: 3}, "e/b": {Key: "e/b", Value: []byte("x"), Changed: 4}}
+	items := map[string]store.Item{"e/a": {Key: "e/a", Value: []byte("x"), Changed: at(3)}, "e/b": {Key: "e/b", Value: []byte("x"), Changed: at(4)}}
 	stale, current := newListing(), newListing()
-	stale.applyUpdate(wholeUpdate(items, 5, 10), "e/", parseTestItem)
-	current.applyUpdate(wholeUpdate(items, 5, 10), "e/", parseTestItem)
-	current.applyUpdate(store.Update{Revision: 6, Deleted: []string{"e/b"}, Read: 20}, "e/", parseTestItem)
+	stale.applyUpdate(wholeUpdate(items, at(5), 10), "e/", parseTestItem)
+	current.applyUpdate(wholeUpdate(items, at(5), 10), "e/", parseTestItem)
+	current.applyUpdate(store.Update{Position: at(6), Deleted: []string{"e/b"}, Read: 20}, "e/", parseTestItem)
 	requireUnpublished(t, current, 1, 1)
 	want := maps.Clone(current.entries)
-	for _, delta := range []listDelta{stale.since(20, 0, nil), stale.since(20, 4, nil), stale.since(20, 5, &current.digests)} {
+	for _, delta := range []listDelta{stale.since(20, at(0), nil), stale.since(20, at(4), nil), stale.since(20, at(5), &current.digests)} {
 		current.applyDelta(20, delta)
 		requireUnpublished(t, current, 0, 0)
 		require.Equal(t, want, current.entries)
 	}
-	current.applyUpdate(wholeUpdate(items, 5, 10), "e/", parseTestItem)
+	current.applyUpdate(wholeUpdate(items, at(5), 10), "e/", parseTestItem)
 	requireUnpublished(t, current, 0, 0)
 	require.Equal(t, want, current.entries)
 }
@@ -225,9 +269,9 @@
 // Guards against an entry that can't be read but keeps naming an endpoint to use.
 func TestMalformedEntryNamesNoEndpoint(t *testing.T) {
 	list := newListing()
-	list.applyUpdate(store.Update{Whole: true, Revision: 1, Items: []store.Item{{Key: "e/a", Value: []byte("x"), Changed: 1}}}, "e/", parseTestItem)
+	list.applyUpdate(store.Update{Whole: true, Position: at(1), Items: []store.Item{{Key: "e/a", Value: []byte("x"), Changed: at(1)}}}, "e/", parseTestItem)
 	requireUnpublished(t, list, 1, 0)
-	malformed := list.applyUpdate(store.Update{Revision: 2, Items: []store.Item{{Key: "e/a", Changed: 2}}}, "e/", parseTestItem)
+	malformed := list.applyUpdate(store.Update{Position: at(2), Items: []store.Item{{Key: "e/a", Changed: at(2)}}}, "e/", parseTestItem)
 	requireUnpublished(t, list, 0, 1)
 	require.Equal(t, []string{"e/a"}, malformed)
 	require.Empty(t, list.entries)
@@ -237,12 +281,12 @@
 // malformed ones that are accepted.
 func TestSyncQuery(t *testing.T) {
 	sums := digests{3: 1 << 63, 63: 5}
-	for _, want := range []syncQuery{{}, {list: 7, control: 9}, {list: 7, control: 9, digests: &sums}} {
+	for _, want := range []syncQuery{{}, {list: at(7), control: store.Position{Era: 3, Revision: 9}, version: 5}, {list: at(7), control: at(9), digests: &sums}} {
 		got, err := parseSyncQuery(want.uri())
 		require.NoError(t, err)
 		require.Equal(t, want, got)
 	}
-	for _, bad := range []string{"", "1", "1/x", "x/1", "1/2/zz", "1/2/00", "1/2/00/3"} {
+	for _, bad := range []string{"", "0.1", "0.1/0.1", "1/2", "1/2/3", "0.1/0.x/1", "x.0/0.1/1", "0.1/0.1/-1", "0.1/0.2/3/zz", "0.1/0.2/3/00", "0.1/0.2/3/00/3"} {
 		_, err := parseSyncQuery(syncPath + bad)
 		require.Error(t, err, bad)
 	}
--- a/gate/readers_test.go
+++ b/gate/readers_test.go
@@ -75,7 +75,7 @@
 	for _, other := range r.members {
 		switch {
 		case other == m || other.down || other.cut || m.cut:
-		case other.list.revision > 0:
+		case other.list.position.Known():
 			m.ready = append(m.ready, other.policy.self)
 		default:
 			m.starting = append(m.starting, other.policy.self)
@@ -89,9 +89,9 @@
 		return
 	}
 	m.next = r.world.now.Add(syncInterval)
-	before := m.list.revision
+	before := m.list.position
 	switch now := r.world.now; {
-	case m.list.revision == 0:
+	case !m.list.position.Known():
 		m.next = now.Add(simStep)
 		r.fetchFirst(m)
 	case now.Before(m.directUntil) || m.policy.reads(m.ready):
@@ -100,8 +100,8 @@
 	case !r.queryReaders(m):
 		m.directUntil, m.next = now.Add(directSpan), now
 	}
-	if m.list.revision < before {
-		r.t.Fatalf("the list of %s went back from %d to %d", m.policy.self, before, m.list.revision)
+	if m.list.position.Before(before) {
+		r.t.Fatalf("the list of %s went back from %v to %v", m.policy.self, before, m.list.position)
 	}
 }
 
@@ -119,7 +119,7 @@
 		return
 	}
 	r.reads++
-	m.list.applyUpdate(wholeUpdate(r.world.truth, r.world.revision, r.world.now), "e/", parseTestItem)
+	m.list.applyUpdate(wholeUpdate(r.world.truth, r.world.position, r.world.now), "e/", parseTestItem)
 }
 
 func (r *region) queryReaders(m *member) bool {
@@ -130,14 +130,14 @@
 func (r *region) query(m *member, name ident.Entry) bool {
 	index := slices.IndexFunc(r.members, func(other *member) bool { return other.policy.self == name })
 	other := r.members[index]
-	if other.down || other.cut || m.cut || other.list.revision == 0 {
+	if other.down || other.cut || m.cut || !other.list.position.Known() {
 		return false
 	}
 	var theirs *digests
 	if m.differs {
 		theirs = &m.list.digests
 	}
-	delta := other.list.since(r.world.now, m.list.revision, theirs)
+	delta := other.list.since(r.world.now, m.list.position, theirs)
 	if delta.Age > boundOrDefault(0)/dataAgeDivisor {
 		return false
 	}
@@ -158,7 +158,7 @@
 
 func (r *region) disturb() {
 	m := r.any()
-	switch rapid.IntRange(0, 6).Draw(r.t, "fault") {
+	switch rapid.IntRange(0, 8).Draw(r.t, "fault") {
 	case 0:
 		m.down = true
 	case 1, 2:
@@ -168,13 +168,17 @@
 	case 4:
 		r.storeDown = !r.storeDown
 	case 5:
-		r.world.put(fmt.Sprint("e/", rapid.IntRange(0, 4).Draw(r.t, "key")), fmt.Sprint("a", r.world.revision))
+		r.world.put(fmt.Sprint("e/", rapid.IntRange(0, 4).Draw(r.t, "key")), fmt.Sprint("a", r.world.position))
 	case 6:
 		r.world.remove(fmt.Sprint("e/", rapid.IntRange(0, 4).Draw(r.t, "key")))
+	case 7:
+		r.world.backUp()
+	case 8:
+		r.world.restore()
 	}
 }
 
-// Guards, over random interleavings of kills, restarts, cuts, outages of the store and changes, against
+// Guards, over random interleavings of kills, restarts, cuts, changes, outages of the store and restores of it, against
 // an instance that keeps an old list, goes back to one, or reads the store although others do.
 func TestReadersOfRegion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/gate/state.go
+++ b/gate/state.go
@@ -66,11 +66,15 @@
 	brokenRequests map[ident.Endpoint][]brokenRequest
 	// control and listing are the newest data of the store, and answeredAt is when the store, or an
 	// instance that reads it, last answered this one.
-	control    store.Snapshot
+	control    control
 	listing    *listing
 	answeredAt clock.Time
+	// era is the latest era of the store that this instance has seen, and restoredAt when it saw that the
+	// store had come back from a copy; 0 if it has not.
+	era        store.Era
+	restoredAt clock.Time
 	// listDiffers reports whether the list differs from that of another instance at the same
-	// revision.
+	// position.
 	listDiffers bool
 	// responseMemory bounds the response bodies that are buffered.
 	responseMemory *relay.Memory
--- a/gate/sync.go
+++ b/gate/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/fault"
+	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
 	"github.com/tanagerbridge/tanagerbridge/relay"
 	"github.com/tanagerbridge/tanagerbridge/store"
@@ -19,7 +21,8 @@
 
 const (
 	// syncPath is the path at which other instances query changes of the list of endpoints and of the
-	// configuration: syncPath + list revision / configuration revision [/ digests of the list].
+	// configuration: syncPath + list position / configuration position / version in force [/ digests of
+	// the list]. A position is era.revision.
 	syncPath = "/tanager/sync/"
 	// dataAgeDivisor limits the age of another instance's data to 1/dataAgeDivisor of the time within
 	// which a change must take effect; if they are older, the instance reads the store itself.
@@ -47,11 +50,16 @@
 // syncResponse is the response to a query of another instance.
 type syncResponse struct {
 	List listDelta
-	// Control is the configuration if it is newer than that of the other instance.
+	// Control is the operator's data if they are newer than those of the other instance.
 	Control map[string]store.Item
-	// ControlRevision and ControlAge describe the newest configuration.
-	ControlRevision store.Revision
+	// ControlPosition and ControlAge describe the newest data of the operator.
+	ControlPosition store.Position
 	ControlAge      clock.Span
+	// Era is the latest era of the store that the instance has seen; its data may be of an earlier one.
+	Era store.Era
+	// InForce is the data with the version in force, if that is higher than the one of the other instance
+	// and Control does not have it.
+	InForce map[string]store.Item
 }
 
 // freshLimits returns the maximum ages of data that are as good as those of the store.
@@ -117,14 +125,16 @@
 
 // syncQuery is a query of another instance.
 type syncQuery struct {
-	list    store.Revision
-	control store.Revision
+	list    store.Position
+	control store.Position
+	// version is the version of the configuration in force; 0 if there is none.
+	version ident.Version
 	// digests is nil unless the lists have been found to differ.
 	digests *digests
 }
 
 func (q syncQuery) uri() string {
-	uri := syncPath + strconv.FormatInt(int64(q.list), 10) + "/" + strconv.FormatInt(int64(q.control), 10)
+	uri := syncPath + formatPosition(q.list) + "/" + formatPosition(q.control) + "/" + strconv.FormatUint(uint64(q.version), 10)
 	if q.digests == nil {
 		return uri
 	}
@@ -135,25 +145,34 @@
 	return uri + "/" + hex.EncodeToString(encoded)
 }
 
+func formatPosition(p store.Position) string {
+	return strconv.FormatInt(int64(p.Era), 10) + "." + strconv.FormatInt(int64(p.Revision), 10)
+}
+
+func parsePosition(text string) (position store.Position, err error) {
+	eraText, revisionText, _ := strings.Cut(text, ".")
+	era, eraErr := strconv.ParseInt(eraText, 10, 64)
+	revision, revisionErr := strconv.ParseInt(revisionText, 10, 64)
+	return store.Position{Era: store.Era(era), Revision: store.Revision(revision)}, errors.Join(eraErr, revisionErr)
+}
+
 // parseSyncQuery parses the URI of a query.
 func parseSyncQuery(uri string) (query syncQuery, err error) {
 	fields := strings.Split(strings.TrimPrefix(uri, syncPath), "/")
-	if len(fields) < 2 || len(fields) > 3 {
+	if len(fields) < 3 || len(fields) > 4 {
 		return query, fault.Newf("sync", KindInvalid, "query has %d fields", len(fields))
 	}
-	list, err := strconv.ParseInt(fields[0], 10, 64)
-	if err != nil {
-		return query, fault.Wrap("sync", KindInvalid, err)
-	}
-	control, err := strconv.ParseInt(fields[1], 10, 64)
-	if err != nil {
+	list, listErr := parsePosition(fields[0])
+	control, controlErr := parsePosition(fields[1])
+	version, versionErr := strconv.ParseUint(fields[2], 10, 64)
+	if err := errors.Join(listErr, controlErr, versionErr); err != nil {
 		return query, fault.Wrap("sync", KindInvalid, err)
 	}
-	query.list, query.control = store.Revision(list), store.Revision(control)
-	if len(fields) == 2 {
+	query.list, query.control, query.version = list, control, ident.Version(version)
+	if len(fields) == 3 {
 		return query, nil
 	}
-	encoded, err := hex.DecodeString(fields[2])
+	encoded, err := hex.DecodeString(fields[3])
 	if err != nil || len(encoded) != 8*digestBuckets {
 		return query, fault.Newf("sync", KindInvalid, "malformed digests")
 	}
--- a/pool/doc.go
+++ b/pool/doc.go
@@ -22,8 +22,11 @@
 	// ColdRemaining is the remaining time during which the endpoint is cold and accepts requests at a
 	// limited rate only.
 	ColdRemaining clock.Span
-	// Incarnation distinguishes successive processes that run under the same id.
+	// Incarnation distinguishes successive processes that run under the same id, and is higher for later
+	// ones; 0 is unknown.
 	Incarnation int64
+	// Sequence is higher in later descriptions of a process; 0 is unknown.
+	Sequence int64
 }
 
 // Load is the load that an endpoint reports about itself.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -16,6 +16,9 @@
 	// minListOutage is the time between two reads of the list after which entries may have expired
 	// although their endpoints are up.
 	minListOutage = 2500 * clock.Millisecond
+	// copyTerm is how long after a restore of the list from a copy an entry may be older than what was known
+	// before: until its endpoint has written it again, or it has expired.
+	copyTerm = 10 * clock.Second
 	// delistedRetention is how long a delisted endpoint is kept before it is deleted; its requests
 	// must have ended too.
 	delistedRetention = clock.Minute
@@ -41,6 +44,8 @@
 	// graceUntil is the time until which endpoints that are missing from the list after an outage
 	// are kept.
 	graceUntil clock.Time
+	// copiedUntil is the time until which the list may have entries of a copy whose endpoints are gone.
+	copiedUntil clock.Time
 	// missing holds the endpoints that the list does not have: those that are delisted, and those
 	// that are kept for delistGrace.
 	missing map[ident.Endpoint]*endpoint
@@ -140,9 +145,35 @@
 	p.lastListed = max(p.lastListed, read)
 }
 
+// RecordRestore records that the list comes from a copy since now. Endpoints that the copy lacks are kept
+// for delistGrace, and older entries than those known change nothing.
+func (p *Pool) RecordRestore(now clock.Time) {
+	p.graceUntil, p.copiedUntil = max(p.graceUntil, now.Add(delistGrace)), now.Add(copyTerm)
+}
+
+// outdated reports whether an entry of the list is older than what is known of the endpoint.
+func (p *Pool) outdated(now clock.Time, known *endpoint, entry Info) bool {
+	copied := now.Before(p.copiedUntil)
+	switch {
+	case known.Incarnation == 0 || entry.Incarnation == 0:
+		return false
+	case known.Incarnation != entry.Incarnation:
+		return copied && entry.Incarnation < known.Incarnation
+	case known.Sequence == 0 || entry.Sequence == 0:
+		return false
+	}
+	return entry.Sequence < known.Sequence || copied && known.delisted && entry.Sequence == known.Sequence
+}
+
 // putEndpoint applies an entry of the list and keeps the index of the services.
 func (p *Pool) putEndpoint(now clock.Time, info Info) string {
 	known := p.endpoints[info.ID]
+	if known != nil && p.outdated(now, known, info) {
+		if !known.delisted {
+			delete(p.missing, info.ID)
+		}
+		return ""
+	}
 	if known != nil && !known.delisted && (known.Service != info.Service || known.Region != info.Region || known.Zone != info.Zone) {
 		p.removeFromIndex(known)
 	}
--- a/store/doc.go
+++ b/store/doc.go
@@ -23,20 +23,25 @@
 	KindUnavailable Kind = "unavailable"
 	// KindMalformed says that a response is invalid.
 	KindMalformed Kind = "malformed"
+	// KindRestored says that the store has come back from a copy since the content was read.
+	KindRestored Kind = "restored"
 )
 
 // Error is the error of this package.
 type Error = fault.Error[Kind]
 
-// Revision is the store-wide change counter.
-type Revision int64
-
 // Item is a key with its value.
 type Item struct {
 	Key   string
 	Value []byte
-	// Changed is the revision of the last change.
-	Changed Revision
+	// Changed is the position of the last change.
+	Changed Position
+}
+
+// in returns the item with the given era if its position has none.
+func (i Item) in(known Era) Item {
+	i.Changed = i.Changed.in(known)
+	return i
 }
 
 // Event is a change of one key.
@@ -50,18 +55,19 @@
 type Page struct {
 	Items []Item
 	More  bool
-	// Revision is the revision of the store.
-	Revision Revision
+	// Position is the position of the store.
+	Position Position
 }
 
 // Changes holds the events after a revision.
 type Changes struct {
 	Events []Event
-	// Revision is the revision from which to continue.
-	Revision Revision
+	// Position is the position from which to continue.
+	Position Position
 }
 
-// Reader makes single calls to the store. Errors are of type *Error.
+// Reader makes single calls to the store. Errors are of type *Error. An answer that names no valid era
+// has positions with UnknownEra.
 type Reader interface {
 	// Range returns the items under a prefix whose keys sort after the given one.
 	Range(ctx context.Context, prefix, after string) (Page, error)
@@ -77,8 +83,8 @@
 	Whole   bool
 	Items   []Item
 	Deleted []string
-	// Revision is the revision from which further changes count.
-	Revision Revision
+	// Position is the position from which further changes count.
+	Position Position
 	// Read is the time as of which the content is complete.
 	Read clock.Time
 }
@@ -86,18 +92,23 @@
 // Snapshot is the content under a prefix at one point in time.
 type Snapshot struct {
 	Items    map[string]Item
-	Revision Revision
+	Position Position
 	// Read is the time as of which the content is complete.
 	Read clock.Time
 }
 
-// Apply returns the snapshot after an update. An update that is older than the snapshot has no
-// effect.
+// Continues reports whether an update can be applied to content as of a position: it must not be older,
+// and changes must be of the same era.
+func (u *Update) Continues(content Position) bool {
+	return !u.Position.Before(content) && (u.Whole || u.Position.Era == content.Era || !content.Known())
+}
+
+// Apply returns the snapshot after an update. One that does not continue the snapshot has no effect.
 func (s Snapshot) Apply(update Update) Snapshot {
-	if update.Revision < s.Revision {
+	if !update.Continues(s.Position) {
 		return s
 	}
-	next := Snapshot{Items: make(map[string]Item, len(s.Items)), Revision: update.Revision, Read: update.Read}
+	next := Snapshot{Items: make(map[string]Item, len(s.Items)), Position: update.Position, Read: update.Read}
 	if !update.Whole {
 		maps.Copy(next.Items, s.Items)
 	}
--- a/store/follow.go
+++ b/store/follow.go
@@ -42,12 +42,14 @@
 	config  Config
 	backoff clock.Backoff
 	failing bool
-	// revision is the revision from which to watch; 0 if the prefix has to be read.
-	revision Revision
-	// seen is the newest revision seen; content up to it may have been lost from the history.
-	seen Revision
+	// position is the position from which to watch; unknown if the prefix has to be read.
+	position Position
+	// seen is the latest position seen; content up to it may have been lost from the history.
+	seen Position
 	// lastRead is when the last read of the whole prefix began.
 	lastRead clock.Time
+	// eraMissing reports whether the last answer named no era although an earlier one did.
+	eraMissing bool
 }
 
 // NewFollower returns a Follower that has not read anything yet.
@@ -62,20 +64,20 @@
 	}
 }
 
-// Resume continues from content that was obtained elsewhere as of a revision, if that is newer than
+// Resume continues from content that was obtained elsewhere as of a position, if that is later than
 // what the Follower has seen.
-func (f *Follower) Resume(revision Revision) {
-	if revision > f.seen {
-		f.revision, f.seen, f.lastRead = revision, revision, f.config.Clock.Now()
+func (f *Follower) Resume(position Position) {
+	if f.seen.Before(position) {
+		f.position, f.seen, f.lastRead = position, position, f.config.Clock.Now()
 	}
 }
 
 // Step makes one watch call, or reads the whole prefix if that is due: at first, after a loss of
-// history and once per interval. After a failure it waits for the backoff.
+// history, when the store has come back from a copy, and once per interval. After a failure it waits for the backoff.
 func (f *Follower) Step(ctx context.Context) {
 	var update Update
 	var err error
-	if f.revision == 0 || f.config.Clock.Now().Sub(f.lastRead) >= f.config.Interval {
+	if !f.position.Known() || f.config.Clock.Now().Sub(f.lastRead) >= f.config.Interval {
 		update, err = f.readAll(ctx)
 	} else {
 		update, err = f.watch(ctx)
@@ -83,14 +85,25 @@
 	if !f.handleResult(ctx, err) {
 		return
 	}
-	f.revision = max(f.revision, update.Revision)
-	f.seen = max(f.seen, f.revision)
+	f.position = Latest(f.position, update.Position)
+	f.seen = Latest(f.seen, f.position)
 	f.config.OnUpdate(update)
 	if !update.Whole && len(update.Items)+len(update.Deleted) > 0 {
 		clock.Sleep(ctx, changePause)
 	}
 }
 
+// located returns the position of an answer. One that names no era is taken for one of the last known
+// era; the first such answer is reported.
+func (f *Follower) located(position Position) Position {
+	missing := position.Era == UnknownEra && f.seen.Era > 0
+	if missing && !f.eraMissing {
+		f.config.OnResult(fault.Newf("call", KindMalformed, "answer names no valid era"))
+	}
+	f.eraMissing = missing
+	return position.in(f.seen.Era)
+}
+
 // readAll reads the whole prefix, page by page. Pages are not a snapshot; the watch repeats the
 // changes that occur during the read. Errors are of type *Error.
 func (f *Follower) readAll(ctx context.Context) (Update, error) {
@@ -103,10 +116,16 @@
 		if err != nil {
 			return update, err
 		}
-		if n == 0 {
-			update.Revision = page.Revision
+		position := f.located(page.Position)
+		switch {
+		case n == 0:
+			update.Position = position
+		case position.Era != update.Position.Era:
+			return update, fault.New("read", KindRestored)
+		}
+		for _, i := range page.Items {
+			update.Items = append(update.Items, i.in(position.Era))
 		}
-		update.Items = append(update.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			f.lastRead = update.Read
 			return update, nil
@@ -122,14 +141,19 @@
 	call, cancel := context.WithTimeout(ctx, (f.config.WatchTimeout + callTimeout).Duration())
 	defer cancel()
 	started := f.config.Clock.Now()
-	changes, err := f.config.Reader.Watch(call, f.config.Prefix, f.revision, f.config.WatchTimeout)
+	changes, err := f.config.Reader.Watch(call, f.config.Prefix, f.position.Revision, f.config.WatchTimeout)
 	if err != nil {
 		if fault.KindOf[Kind](err) == KindCompacted {
-			f.revision = 0
+			f.position = Position{}
 		}
 		return Update{}, err
 	}
-	update := Update{Revision: max(f.revision, changes.Revision), Read: started}
+	position := f.located(changes.Position)
+	if position.Era != f.position.Era {
+		f.position = Position{}
+		return Update{}, fault.New("watch", KindRestored)
+	}
+	update := Update{Position: Latest(f.position, position), Read: started}
 	if f.config.Clock.Now().Sub(started) >= f.config.WatchTimeout {
 		update.Read = started.Add(f.config.WatchTimeout)
 	}
@@ -142,7 +166,7 @@
 			update.Deleted = append(update.Deleted, e.Key)
 			continue
 		}
-		update.Items = append(update.Items, e.Item)
+		update.Items = append(update.Items, e.in(position.Era))
 	}
 	return update, nil
 }
@@ -161,7 +185,7 @@
 		f.backoff.Reset()
 		return true
 	}
-	if fault.KindOf[Kind](err) == KindCompacted {
+	if kind := fault.KindOf[Kind](err); kind == KindCompacted || kind == KindRestored {
 		// The content has to be read again immediately.
 		f.config.OnResult(err)
 		return false
