fix(gate): in a stop, refuse what can't end and answer what is in progress

Report of other operators: in a planned stop, requests that came late in the grace period were taken, passed on and cut at its end without an answer, among them such that may not be repeated.

Cause: a leaving instance refused requests only if callers kept coming; otherwise it served what came on open connections, up to 5 s on one that had sent nothing yet, and knew nothing of the end. Class: whether a request is taken was decided by the state of the process, not by what the request may need.

Change: a request that may not be repeated is refused if it may need longer than is left (four targets of its route, at most its time limit). All further requests are refused once the listener is closed. 0.3 s before the cut-off, requests in progress are answered as at their time limit.

--- a/gate/drain.go
+++ b/gate/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -27,8 +28,12 @@
 	quietPollInterval = 50 * clock.Millisecond
 	// trackingTime is the time that a server has for registering the last connections.
 	trackingTime = 50 * clock.Millisecond
-	// cutOffMargin is how long before the kill requests in progress are cut off.
+	// cutOffMargin is how long before the kill requests in progress are cut off, and answerMargin how long
+	// before that they are answered instead.
 	cutOffMargin = 300 * clock.Millisecond
+	answerMargin = 300 * clock.Millisecond
+	// needTargets is the time that a request may need, as a multiple of its route's target.
+	needTargets = 4
 )
 
 // Drain shuts the instance down gracefully: it withdraws from the directory, keeps serving new
@@ -39,7 +44,10 @@
 		grace = defaultGrace
 	}
 	end := s.clock.Now().Add(grace - cutOffMargin)
+	s.answerBy.Store(int64(end.Add(-answerMargin)))
 	s.draining.Store(true)
+	answerAll := time.AfterFunc((grace - cutOffMargin - answerMargin).Duration(), s.endRequests)
+	defer answerAll.Stop()
 	s.log.Info("draining", zap.Int64("active", s.metrics.active.Count()), zap.Int64("grace", int64(grace)))
 	s.announce(mesh.Leaving)
 	clock.Sleep(ctx, min(drainLinger, grace/2))
@@ -47,6 +55,7 @@
 		s.refusing.Store(true)
 		s.awaitQuiet(ctx, grace/quietWaitDivisor)
 	}
+	s.refusing.Store(true)
 	s.announce(mesh.Closed)
 	s.stopListening(ctx)
 	ctx, cancel := context.WithTimeout(ctx, max(0, end.Sub(s.clock.Now())).Duration())
@@ -58,6 +67,16 @@
 	s.log.Info("stopped")
 }
 
+// refusesLate reports whether an instance that drains refuses a request because it may not end in time. A
+// request that can be repeated elsewhere is taken.
+func (s *Server) refusesLate(request *inflight) bool {
+	if !s.draining.Load() || request.route.Repeatable() {
+		return false
+	}
+	need := min(request.remaining(), needTargets*request.route.TargetLatency)
+	return s.clock.Now().Add(need).After(clock.Time(s.answerBy.Load()))
+}
+
 // stopListening makes the servers for callers and instances accept no further connections. Those that
 // were opened before are served.
 func (s *Server) stopListening(ctx context.Context) {
--- a/gate/front.go
+++ b/gate/front.go
@@ -79,6 +79,10 @@
 	request.hopped = hopped
 	defer request.release()
 	defer request.containPanic()
+	if s.refusesLate(request) {
+		s.refuseUnready(w, r, "leaving")
+		return
+	}
 	s.boundTransfer(w, r, request.remaining())
 	if !request.readBody(table.Bounds.BodyBytes) {
 		return
@@ -86,6 +90,7 @@
 	request.fingerprint = fingerprint(r.Host, r.RequestURI, request.body)
 	ctx, cancel := context.WithTimeout(r.Context(), request.remaining().Duration())
 	defer cancel()
+	defer context.AfterFunc(s.ending, cancel)()
 	request.run(ctx)
 }
 
--- a/gate/server.go
+++ b/gate/server.go
@@ -68,6 +68,11 @@
 	draining atomic.Bool
 	// refusing reports whether a leaving instance refuses further requests.
 	refusing atomic.Bool
+	// answerBy is when a leaving instance answers the requests that are still in progress, as a clock.Time.
+	// ending is then done.
+	answerBy    atomic.Int64
+	ending      context.Context
+	endRequests context.CancelFunc
 	// lastArrival is when a caller last opened a connection or sent a request, as a clock.Time.
 	lastArrival atomic.Int64
 	// bodyBytes is the memory reserved for request bodies.
@@ -110,6 +115,7 @@
 		startupDelay: clock.Span(rand.Int64N(int64(startupSpread))),
 	}
 	server.conns = newTracker(server)
+	server.ending, server.endRequests = context.WithCancel(context.WithoutCancel(ctx))
 	ctx, server.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	if err := server.bind(ctx); err != nil {
 		server.Close()
@@ -330,6 +336,7 @@
 // Close stops the instance immediately.
 func (s *Server) Close() {
 	s.cancel()
+	s.endRequests()
 	s.conns.cutOff()
 	for i, l := range s.listeners {
 		_ = s.servers[i].Close()
