fix(mesh): a restart after the time of day was set back counts as later

An instance's incarnation is its start by the time of day. After a step back of some seconds, a restarted process counted as an earlier one: the others dropped its messages, did not name it to callers and did not pass requests on to it until the time had caught up, or for 90 s. No caller has reported it.

Change: who gets a message of a process that counts as earlier, from the same address, answers with the record that it knows; the process then counts itself later. A record with another address changes nothing, so that two processes with one name do not outbid each other.

--- a/mesh/table.go
+++ b/mesh/table.go
@@ -121,7 +121,7 @@
 	}
 	sender := t.peers[message.From.Name]
 	if sender == nil || sender.Incarnation != message.From.Incarnation {
-		return nil
+		return t.replyToEarlier(sender, message)
 	}
 	t.recordMessage(now, sender, message)
 	t.recordReached(now, message.Reached)
@@ -133,6 +133,22 @@
 	return replies
 }
 
+// replyToEarlier tells a process that counts as an earlier one which one is known. A process whose time of
+// day was set back before its start can then count itself later.
+func (t *Table) replyToEarlier(known *peer, message Message) []OutgoingMessage {
+	if known == nil || known.Mesh != message.From.Mesh {
+		return nil
+	}
+	return []OutgoingMessage{{known.Mesh, Message{From: t.self, Receiver: known.Name, Records: []Record{known.Record}}}}
+}
+
+// outrank makes this process count as later than one that had its name and address before it.
+func (t *Table) outrank(earlier Record) {
+	if earlier.Mesh == t.self.Mesh && earlier.Incarnation > t.self.Incarnation && earlier.Incarnation < math.MaxInt64 {
+		t.self.Incarnation = earlier.Incarnation + 1
+	}
+}
+
 // recordMessage updates what is known about the sender of a message.
 func (t *Table) recordMessage(now clock.Time, sender *peer, message Message) {
 	if message.Heartbeat {
@@ -186,7 +202,11 @@
 
 // mergeRecord stores a record if it is newer than the known one.
 func (t *Table) mergeRecord(now clock.Time, record Record) {
-	if record.Name == t.self.Name || record.Name == "" {
+	if record.Name == t.self.Name {
+		t.outrank(record)
+		return
+	}
+	if record.Name == "" {
 		return
 	}
 	known := t.peers[record.Name]
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -338,3 +338,28 @@
 	alone.SetState(mesh.Closed)
 	require.Equal(t, []ident.Entry{"a"}, alone.RegionMembers())
 }
+
+// Guards against an instance that is not known to the others because the time of day was set back before its restart,
+// so that it counts as an earlier process.
+func TestRestartWithEarlierTimeIsKnown(t *testing.T) {
+	fleet := newNetwork(6, 2)
+	fleet.round(40)
+	restarted := fleet.tables["m3"].Self()
+	restarted.Incarnation, restarted.Counter, restarted.Front = 0, 0, "new"
+	fleet.tables["m3"] = mesh.NewTable(fleet.now, restarted, []string{"m0", "m1"}, 9)
+	fleet.round(10)
+	for address, table := range fleet.tables {
+		if address == "m3" {
+			require.Len(t, table.Alive(fleet.now), 5)
+			continue
+		}
+		fronts := make(map[string]bool)
+		for _, r := range table.Alive(fleet.now) {
+			fronts[r.Front] = true
+		}
+		require.True(t, fronts["new"], "%s knows the new process", address)
+	}
+	other := mesh.NewTable(1000, mesh.Record{Name: "a", Incarnation: 5, Mesh: "a"}, nil, 1)
+	other.Receive(1000, mesh.Message{From: mesh.Record{Name: "b", Counter: 1}, Records: []mesh.Record{{Name: "a", Incarnation: 9, Mesh: "elsewhere"}}})
+	require.EqualValues(t, 5, other.Self().Incarnation, "an instance at another address is no earlier process")
+}
