fix(gate): a query of a reader waits no longer than the bound allows

Change: a query for what is new takes at most a twelfth of the bound; 4.0 and 2.7 s. The first query of an instance without data keeps its 0.8 s. TestStaleDataFitIntoTheBound fails with 0.8 s for the bound of 3 s.

--- a/gate/follow.go
+++ b/gate/follow.go
@@ -74,7 +74,7 @@
 func (s *Server) fetchFirstList(ctx context.Context, follower *store.Follower, retry *clock.Backoff) {
 	peers := s.regionPeers()
 	switch {
-	case len(peers) > 0 && s.syncFrom(ctx, peers[s.randomUint64()%uint64(len(peers))], s.freshLimits()):
+	case len(peers) > 0 && s.syncFrom(ctx, peers[s.randomUint64()%uint64(len(peers))], firstLimits(s.settings)):
 	case s.mayReadFirst(peers):
 		follower.Step(ctx)
 	case len(peers) > 0:
@@ -111,7 +111,7 @@
 	peers := s.regionPeers()
 	for _, name := range s.readerPolicy().sources(namesOf(peers), s.randomUint64()) {
 		index := slices.IndexFunc(peers, func(r mesh.Record) bool { return r.Name == name })
-		if index >= 0 && s.syncFrom(ctx, peers[index], s.freshLimits()) {
+		if index >= 0 && s.syncFrom(ctx, peers[index], freshLimits(s.settings)) {
 			s.state.recordAnswer()
 			return true
 		}
--- a/gate/readers_test.go
+++ b/gate/readers_test.go
@@ -235,3 +235,18 @@
 		require.Equal(t, storeReaderCount, readers)
 	})
 }
+
+// storeAnswer is how long the store of another region takes for an answer.
+const storeAnswer = 200 * clock.Millisecond
+
+// Guards against a departure that an instance learns of too late, because the reader that it queries has old data, or is
+// cut off, and the next one too.
+func TestStaleDataFitIntoTheBound(t *testing.T) {
+	for _, bound := range []clock.Span{3 * clock.Second, 5 * clock.Second} {
+		limits := freshLimits(Settings{ListBound: bound, ControlBound: bound})
+		worst := limits.list + syncInterval + maxSources*limits.query + storeAnswer
+		require.LessOrEqual(t, worst, bound)
+	}
+	short := freshLimits(Settings{ListBound: 5 * clock.Second, ControlBound: 3 * clock.Second})
+	require.Equal(t, 250*clock.Millisecond, short.query)
+}
--- a/gate/sync.go
+++ b/gate/sync.go
@@ -36,15 +36,20 @@
 	outageSilence  = 1200 * clock.Millisecond
 	// maxOutageAge bounds the age of data that is taken from another instance during an outage.
 	maxOutageAge = 5 * clock.Minute
-	// syncTimeout bounds one query, maxSyncBytes its response.
+	// syncTimeout bounds one query, maxSyncBytes its response. queryDivisor limits a query of a reader for
+	// what is new to 1/queryDivisor of the time within which a change must take effect: data that are as old
+	// as allowed, two queries without an answer and a call to the store must fit into that time.
 	syncTimeout  = 800 * clock.Millisecond
+	queryDivisor = 12
 	maxSyncBytes = 16 << 20
 )
 
-// ageLimits are the maximum ages of the data that are taken from another instance.
-type ageLimits struct {
+// syncLimits are the maximum ages of the data that are taken from another instance, and the longest time
+// that a query may take.
+type syncLimits struct {
 	list    clock.Span
 	control clock.Span
+	query   clock.Span
 }
 
 // syncResponse is the response to a query of another instance.
@@ -62,9 +67,17 @@
 	InForce map[string]store.Item
 }
 
-// freshLimits returns the maximum ages of data that are as good as those of the store.
-func (s *Server) freshLimits() ageLimits {
-	return ageLimits{list: boundOrDefault(s.settings.ListBound) / dataAgeDivisor, control: boundOrDefault(s.settings.ControlBound) / dataAgeDivisor}
+// freshLimits returns the limits for data that are as good as those of the store.
+func freshLimits(settings Settings) syncLimits {
+	list, control := boundOrDefault(settings.ListBound), boundOrDefault(settings.ControlBound)
+	return syncLimits{list: list / dataAgeDivisor, control: control / dataAgeDivisor, query: min(syncTimeout, list/queryDivisor, control/queryDivisor)}
+}
+
+// firstLimits returns the same for an instance without data, which may have to wait for the whole list.
+func firstLimits(settings Settings) syncLimits {
+	limits := freshLimits(settings)
+	limits.query = syncTimeout
+	return limits
 }
 
 // syncDuringOutage queries any instance if neither the store nor a reader of it has answered
@@ -82,14 +95,14 @@
 		candidates = s.node.Alive()
 	}
 	if len(candidates) > 0 {
-		s.syncFrom(ctx, candidates[s.randomUint64()%uint64(len(candidates))], ageLimits{maxOutageAge, maxOutageAge})
+		s.syncFrom(ctx, candidates[s.randomUint64()%uint64(len(candidates))], syncLimits{maxOutageAge, maxOutageAge, syncTimeout})
 	}
 }
 
 // syncFrom queries an instance, applies what is newer and reports whether the data are within the
-// age limits.
-func (s *Server) syncFrom(ctx context.Context, peer mesh.Record, limits ageLimits) bool {
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout.Duration())
+// limits.
+func (s *Server) syncFrom(ctx context.Context, peer mesh.Record, limits syncLimits) bool {
+	ctx, cancel := context.WithTimeout(ctx, limits.query.Duration())
 	defer cancel()
 	var received syncResponse
 	err := s.query(ctx, peer.Hop, s.state.syncURI(), &received)
