test(pool): check the gradual return in one place

The tests of the return from a pause and from a rate limit played the same sends. No check is changed; both call requireGradualReturn.

--- a/pool/limit_test.go
+++ b/pool/limit_test.go
@@ -386,17 +386,5 @@
 	nameLimit(p, a, 1)
 	now := start.Add(100)
 	answerWithoutLimit(p, now, start.Add(50), a)
-	for _, want := range []int{1, 2, 6} {
-		var sends []*pool.Send
-		for range 6 {
-			if choice, ok := choose(p, now, plainRequest); ok {
-				sends = append(sends, p.BeginSend(now, plainRequest, choice))
-			}
-		}
-		require.Len(t, sends, want)
-		for _, s := range sends {
-			require.True(t, p.MaySend(now, s))
-			p.EndSend(now, s, pool.Complete)
-		}
-	}
+	requireGradualReturn(t, p, now)
 }
--- a/pool/pause_test.go
+++ b/pool/pause_test.go
@@ -106,7 +106,13 @@
 	a := process("a", 7)
 	p := newPool(a)
 	askPause(p, start, a, 1000)
-	now := start.Add(1000)
+	requireGradualReturn(t, p, start.Add(1000))
+}
+
+// requireGradualReturn checks that an endpoint gets one request at first, twice as many with each answer, and then
+// as many as it has slots.
+func requireGradualReturn(t *testing.T, p *pool.Pool, now clock.Time) {
+	t.Helper()
 	for _, want := range []int{1, 2, 6} { // after that it is not limited any more
 		var sends []*pool.Send
 		for range 6 {
