fix(gate): a process that starts during a restore keeps evacuations too

Found in a read of the change: a process that starts in the 2.3 s after a restore takes its first data from another instance, which keeps the evacuations from before; if it then reads the store itself, it took the copy's at once, so that a zone that was evacuated in the lost time got requests again. It now hears from the era of the answer that the other instance is waiting, and waits too. TestEvacuationsAreKeptAfterRestore has the case; it fails without the change.

--- a/gate/control_test.go
+++ b/gate/control_test.go
@@ -190,6 +190,10 @@
 			now.Advance(clock.Second)
 			reader.read(in(2, 22), "13", c.after...)
 			check(c.kept)
+			started := newControlMember(now)
+			started.query(reader)
+			started.read(in(2, 22), "13", c.after...)
+			require.Equal(t, c.kept, started.evacuated("z"), "it reads the store itself")
 			now.Advance(2 * clock.Second)
 			reader.confirm(in(2, 22))
 			check(c.want)
@@ -200,6 +204,6 @@
 // manualClock returns a clock that does not begin at 0.
 func manualClock() *clock.Manual {
 	var manual clock.Manual
-	manual.Advance(clock.Second)
+	manual.Advance(clock.Minute)
 	return &manual
 }
--- a/gate/data.go
+++ b/gate/data.go
@@ -76,6 +76,9 @@
 	update := store.Update{
 		Whole: true, Position: received.ControlPosition, Read: now.Add(-received.ControlAge), Items: slices.Collect(maps.Values(received.Control)),
 	}
+	if received.Era > received.ControlPosition.Era && s.restoredAt == 0 {
+		s.restoredAt = now // this instance has started after the restore, and the other one keeps the evacuations
+	}
 	if received.InForce != nil {
 		s.applyTable(store.Snapshot{Items: received.InForce, Position: received.ControlPosition})
 	}
