fix(gate): odd numbers of another instance cost only themselves

Found while looking for odd entries elsewhere: a region whose summary tells 0 slots made each request that was compared with it end with an internal error (integer divide by zero), and a negative load made an endpoint look better than idle. No instance of this code tells such numbers. They are bounded where they are counted with.

--- a/gate/hop.go
+++ b/gate/hop.go
@@ -22,6 +22,8 @@
 	hopReportLag = 400 * clock.Millisecond
 	// requestsPerSlot is the assumed number of requests that a slot serves within one target time.
 	requestsPerSlot = 4
+	// maxRemoteSlots bounds the slots of a region that are counted with.
+	maxRemoteSlots = 1 << 24
 	// hopBackoff is how long an instance gets no requests after a failed connection attempt.
 	hopBackoff = 500 * clock.Millisecond
 	// headerHop marks a request that another instance passes on. Such a request is only sent to an
@@ -54,6 +56,12 @@
 	cost clock.Span
 }
 
+// excessWait returns how long requests beyond the free slots of a region wait. The number of slots is what
+// another instance says.
+func excessWait(excess int, target clock.Span, slots int) clock.Span {
+	return clock.Span(excess) * target / clock.Span(requestsPerSlot*min(max(1, slots), maxRemoteSlots))
+}
+
 // bestHop returns the other region with the lowest expected cost for a request, or false if no
 // region may serve it and can be reached.
 func (s *state) bestHop(now clock.Time, request *inflight, plan pool.Plan) (best hop, found bool) {
@@ -73,7 +81,7 @@
 		}
 		remote := g.Services[index]
 		if excess := s.recentHops.count(now, hopKey{g.Region, request.placement.Service}) - remote.FreeSlots; excess > 0 {
-			remote.Wait += clock.Span(excess) * request.placement.Target / clock.Span(requestsPerSlot*remote.Slots)
+			remote.Wait += excessWait(excess, request.placement.Target, remote.Slots)
 		}
 		wait, delay, cost := s.pool.EstimateRegion(plan, g.Region, remote)
 		roundTrip := g.RoundTrip
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -71,6 +71,15 @@
 	Received       clock.Time
 }
 
+// sane returns a received load without negative numbers, which would make an endpoint look better than idle.
+func (l PeerLoad) sane(now clock.Time) PeerLoad {
+	l.Received, l.Count, l.MemoryTokens = now, max(0, l.Count), max(0, l.MemoryTokens)
+	for i, n := range l.PrefillBacklog {
+		l.PrefillBacklog[i] = max(0, n)
+	}
+	return l
+}
+
 // Send is one request that is being sent to an endpoint or runs there.
 type Send struct {
 	endpoint *endpoint
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -325,8 +325,7 @@
 	reported = reported[:0]
 	for id, load := range loads {
 		if e := p.endpoints[id]; e != nil {
-			load.Received = now
-			e.peerLoads[from] = load
+			e.peerLoads[from] = load.sane(now)
 			reported = append(reported, e)
 		}
 	}
