test(pool): two checks that could not fail

Two passed without what they guard. TestLimitedEndpointIsNotIdle asked at a time at which there was no permit at all: it now begins at the statement, checks that an idle limited endpoint with a fresh permit costs more, and that an older permit is used; it fails without the cost and with a cost that does not fall. TestProcessWithEarlierStartIsTaken looked at the last of two processes only: it now checks both, and fails if an earlier start is ignored. No check is loosened.

--- a/pool/limit_test.go
+++ b/pool/limit_test.go
@@ -319,11 +319,25 @@
 	p := newPool(a, b)
 	require.Equal(t, 8, p.Summaries(start)[0].FreeSlots)
 	nameLimit(p, a, 1)
+	require.Equal(t, 5, p.Summaries(start)[0].FreeSlots)
 	later := start.Add(1200)
 	require.Equal(t, 5, p.Summaries(later)[0].FreeSlots)
 	cold, ok := choose(p, later, prompt(1))
 	require.True(t, ok)
 	require.Equal(t, ident.Endpoint("b"), cold.Endpoint, "a fresh permit is kept for those who gain most")
+	chosen := make(map[ident.Endpoint]int)
+	for range 10 {
+		fresh, ok := choose(p, later, plainRequest)
+		require.True(t, ok)
+		chosen[fresh.Endpoint]++
+	}
+	require.Equal(t, map[ident.Endpoint]int{"b": 10}, chosen, "the limited endpoint costs more, though both are idle")
+	for range 10 {
+		old, ok := choose(p, start.Add(1900), plainRequest)
+		require.True(t, ok)
+		chosen[old.Endpoint]++
+	}
+	require.Positive(t, chosen["a"], "a permit that nobody needs more is used")
 }
 
 // Guards against a caller that waits although no permit comes in time, or is told a time at which there is none,
--- a/pool/restore_test.go
+++ b/pool/restore_test.go
@@ -90,9 +90,11 @@
 // restarted: without a restore of the list, another process is taken as it is.
 func TestProcessWithEarlierStartIsTaken(t *testing.T) {
 	p := newPool(written(8, 4))
-	p.Update(start, start, []pool.Info{written(7, 1)}, nil)
-	changes := p.Update(start, start, []pool.Info{written(9, 1)}, nil)
-	require.Equal(t, pool.Restarted, changes[0].Kind)
+	for _, incarnation := range []int64{7, 9} {
+		changes := p.Update(start, start, []pool.Info{written(incarnation, 1)}, nil)
+		require.Len(t, changes, 1)
+		require.Equal(t, pool.Restarted, changes[0].Kind)
+	}
 	p.Update(start, start, nil, []ident.Endpoint{"a"})
 	p.Update(start, start, []pool.Info{written(9, 1)}, nil)
 	_, ok := choose(p, start, plainRequest)
