refactor(pool): names and a bound that stood twice

Behaviour is unchanged. The slots of a limited endpoint were bounded twice; a method had the name of a field that it read; two comments were riddles.

--- a/pool/limit.go
+++ b/pool/limit.go
@@ -27,7 +27,7 @@
 	// unmetTerm is how long a request that found no permit keeps less urgent ones from taking one. It
 	// covers the interval at which waiting requests look for an endpoint.
 	unmetTerm = 50 * clock.Millisecond
-	// openPermitDivisor: one in so many permits is open to requests of any urgency.
+	// openPermitDivisor makes one in so many permits available to requests of any urgency.
 	openPermitDivisor = 4
 	// maxReturnQueue bounds the time for which callers are asked to come back in turns.
 	maxReturnQueue = 10 * clock.Second
@@ -56,7 +56,7 @@
 
 // permits divides the requests that an endpoint with a rate limit takes among the instances of the
 // region: each has one permit per interval. The intervals of the instances are shifted against each
-// other, and they are never longer or shorter after a quiet time.
+// other. Permits that expire unused do not change when the next ones become available.
 type permits struct {
 	intervalMs float64
 	// nextMs is when the next permit becomes or became available, in ms on the clock.
@@ -165,7 +165,7 @@
 		return e.Slots
 	}
 	running := float64(e.selfReport().limit) * meanServiceMs / float64(clock.Second)
-	return min(e.Slots, int(math.Ceil(min(running, float64(e.Slots)))))
+	return int(math.Ceil(min(running, float64(e.Slots))))
 }
 
 // ReserveReturn returns after what time a caller should come back that found no permit. Callers are
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -384,7 +384,7 @@
 func (p *Pool) DueChecks(now clock.Time) (due []Info) {
 	for _, s := range p.services {
 		for _, e := range s.regional {
-			if p.needsCheck(now, e) && now.Sub(e.lastChecked) >= healthCheckInterval {
+			if p.checkDue(now, e) && now.Sub(e.lastChecked) >= healthCheckInterval {
 				e.lastChecked = now
 				due = append(due, e.Info)
 			}
@@ -393,8 +393,8 @@
 	return append(due, p.dueZoneChecks(now)...)
 }
 
-// needsCheck reports whether an endpoint should get a health check and takes one.
-func (p *Pool) needsCheck(now clock.Time, e *endpoint) bool {
+// checkDue reports whether an endpoint should get a health check and has not asked to be left alone.
+func (p *Pool) checkDue(now clock.Time, e *endpoint) bool {
 	switch {
 	case e.leaving() || e.paused(now):
 		return false
