fix(crash): know crashes by their identity, so that two never count as one

Cause: a suspicion had no identity. A report of another instance was told from an own observation by its expiry: two crashes within 100 ms at two instances counted as one at both, and an instance that only heard of crashes never counted two. Reports went to others most recently used first, which merging them changed, so that bystanders could displace what matters. Change: evidence is a set of crashes by fingerprint, merged in any order; verdicts follow from it alone, as for prompt parts. Two crashes refuse for the term, each further one doubles that, and after it one run decides. Requests at several crashes are kept and told apart from bystanders; the most important reports come first and the rest in turn. The array message of the mesh keeps its layout and carries refusals, which earlier builds understand; the crashes travel in a datagram with named fields. The platform's endpoints are told by incarnation; the role entry has none and tells crashes by time, unless the request ran alone.

--- a/core/core.go
+++ b/core/core.go
@@ -27,6 +27,8 @@
 	maxTickGap = 2 * clock.Second
 	// suspicionTerm is how long a request that crashed endpoints is refused.
 	suspicionTerm = 10 * clock.Minute
+	// sameCrashSpan is the time within which the entries report the same crash of an endpoint.
+	sameCrashSpan = 5 * clock.Second
 	// ledgerMargin is how long a record is kept after the deadline of its ticket.
 	ledgerMargin = clock.Minute
 )
@@ -106,7 +108,7 @@
 		bundles:     cfg.Bundles,
 		policy:      cfg.Policy,
 		fleet:       fleet.New(fleet.Config{Region: cfg.Region, Seed: cfg.Seed}),
-		suspects:    crash.New(crash.Config{Term: suspicionTerm}),
+		suspects:    crash.New(crash.Config{Term: suspicionTerm, SameCrash: sameCrashSpan}),
 		leases:      crash.NewLeases(),
 		requests:    newRequestTable(),
 		addresses:   make(map[ident.Entry]string),
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -337,7 +337,7 @@
 		for i := range 20 {
 			arrival := completion(ident.Request(fmt.Sprint(name, i)))
 			arrival.Fingerprint = ident.Fingerprint(100 + i)
-			entry.Apply(entry.now, core.GossipReceived{Gossip: gossip.Payload{CrashReports: []gossip.CrashReport{{Fingerprint: arrival.Fingerprint, Remaining: clock.Minute}}}})
+			entry.Apply(entry.now, core.GossipReceived{Gossip: gossip.Payload{CrashReports: []gossip.CrashReport{{Fingerprint: arrival.Fingerprint, Remaining: clock.Minute, Crash: 1}}}})
 			for _, action := range entry.Apply(entry.now, arrival) {
 				dispatch, ok := action.(core.Dispatch)
 				if !ok {
--- a/core/ended.go
+++ b/core/ended.go
@@ -151,13 +151,22 @@
 		if request == nil {
 			continue
 		}
-		inFlight = append(inFlight, crash.InFlightRequest{Fingerprint: request.Fingerprint, Exclusive: a.Exclusive, Regions: c.visibleRegions(request)})
+		inFlight = append(inFlight, crash.InFlightRequest{Fingerprint: request.Fingerprint, Exclusive: a.Exclusive, Regions: c.visibleRegions(request), Crash: c.crashID(id, a)})
 	}
 	if len(c.suspects.RecordEndpointCrash(now, inFlight)) > 0 {
 		c.emit(PushGossip{})
 	}
 }
 
+// crashID identifies the crash of an endpoint that runs an attempt. An attempt that runs alone began after
+// an earlier crash was known, so that no other entry can have seen this one.
+func (c *Core) crashID(id ident.Endpoint, attempt fleet.Attempt) ident.Crash {
+	if attempt.Exclusive {
+		return crash.IDOf(id+ident.Endpoint("\x00"+string(c.entry)+"\x00"+string(attempt.Request)), int64(attempt.Number))
+	}
+	return crash.IDOf(id, 0)
+}
+
 // visibleRegions returns the regions to which a home-bound request may be reported, nil
 // for other requests.
 func (c *Core) visibleRegions(request *activeRequest) []ident.Region {
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -3,6 +3,12 @@
 package crash
 
 import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -24,22 +30,32 @@
 const (
 	// defaultTerm is used if Config.Term is not set.
 	defaultTerm = 10 * clock.Minute
-	// maxRecords bounds the fingerprints in memory, which take about 1 MB.
+	// retention is how long the crashes of a request that was at two or more are kept, and the longest
+	// time for which it is refused.
+	retention = 10 * clock.Minute
+	// minRefusedCrashes is the number of crashes from which a request is refused, and maxCrashes bounds
+	// those that are kept of one request.
+	minRefusedCrashes = 2
+	maxCrashes        = 8
+	// maxRecords bounds the fingerprints in memory that were at one crash, and again those that were at
+	// more. Together they take about 1 MB.
 	maxRecords = 4096
 	// maxReports bounds the crash reports in one message, which take about 2 KB.
-	maxReports = 64
-	// maxDelay is how much later the expiry of a forwarded crash report may be than the
-	// original, since the receiver does not know the delay of the message.
+	maxReports = 32
+	// maxRefusals bounds the refusals in one message.
+	maxRefusals = 16
+	// maxDelay bounds the delay of a forwarded message.
 	maxDelay = 5 * clock.Second
-	// maxClockDrift is how much earlier it may be, since the clock rates of machines
-	// differ by up to about 100 ppm, which is 60 ms in 10 minutes.
-	maxClockDrift = 100 * clock.Millisecond
 )
 
 // Config configures Suspects.
 type Config struct {
-	// Term is how long a suspicion or refusal holds; 0 or less means 10 minutes.
+	// Term is how long a suspicion holds after a crash, and a refusal after the second one. The refusal
+	// doubles with each further crash, up to 10 minutes; 0 or less means 10 minutes.
 	Term clock.Span
+	// SameCrash is the time within which crashes with the same id are the same one; 0 means that ids
+	// are unique.
+	SameCrash clock.Span
 }
 
 // InFlightRequest is a request that was in flight on an endpoint when it crashed.
@@ -58,27 +74,46 @@
 	Crash ident.Crash
 }
 
-// Suspects is an LRU table of up to 4,096 suspected fingerprints. It is not safe for
-// concurrent use.
+// IDOf identifies the crash of one process of an endpoint.
+func IDOf(endpoint ident.Endpoint, incarnation int64) ident.Crash {
+	return ident.Crash(xxhash.Sum64String(string(endpoint) + "\x00" + strconv.FormatInt(incarnation, 10)))
+}
+
+// Suspects finds the requests that crash endpoints. It keeps, by fingerprint, the crashes at which a
+// request was in flight, and the verdict follows from these alone, so that entries with the same evidence
+// agree, in whatever order it arrives. It is not safe for concurrent use.
 type Suspects struct {
-	term    clock.Span
-	records *lru[ident.Fingerprint, *fingerprintRecord]
+	config Config
+	// suspected holds the requests that were at one crash, refused those that were at more, so that
+	// bystanders of many crashes can't displace these.
+	suspected *lru[ident.Fingerprint, *fingerprintRecord]
+	refused   *lru[ident.Fingerprint, *fingerprintRecord]
+	// reportCursor is the position in the reports that are told in turn.
+	reportCursor int
 }
 
-// fingerprintRecord is the state of one fingerprint.
+// fingerprintRecord is the evidence against one fingerprint.
 type fingerprintRecord struct {
 	fingerprint ident.Fingerprint
 	regions     []ident.Region
-	verdict     Verdict
-	expires     clock.Time
-	// probability is the sum over crashes of 1/n for n requests in flight; it may exceed 1.
-	probability float64
-	// observed is set if this entry itself saw a crash with the request in flight.
-	observed bool
+	// crashes is sorted by time, the newest first.
+	crashes []evidence
+	// refusedUntil is the end of a refusal that another entry has reported. Its evidence may arrive later.
+	refusedUntil clock.Time
 	// running is set while the suspect's only run is reserved or in progress; see Reserve.
 	running bool
-	// clearedUntil is when the last cleared suspicion would have expired.
-	clearedUntil clock.Time
+}
+
+// evidence says that the request was in flight at an endpoint when that crashed.
+type evidence struct {
+	crash    ident.Crash
+	at       clock.Time
+	starting bool
+	// own is set if this entry has seen the crash, and probability is then 1/n for n requests in flight.
+	own         bool
+	probability float64
+	// cleared is set once the request has completed after the crash.
+	cleared bool
 }
 
 // New returns an empty table.
@@ -86,12 +121,15 @@
 	if config.Term <= 0 {
 		config.Term = defaultTerm
 	}
-	return &Suspects{term: config.Term, records: newLRU[ident.Fingerprint, *fingerprintRecord](maxRecords)}
+	return &Suspects{
+		config:    config,
+		suspected: newLRU[ident.Fingerprint, *fingerprintRecord](maxRecords),
+		refused:   newLRU[ident.Fingerprint, *fingerprintRecord](maxRecords),
+	}
 }
 
 // RecordEndpointCrash records the crash of an endpoint with the given requests in flight and
-// returns the crash reports to send to the other entries. A request that was already a
-// suspect is refused, as this is its second crash. If a suspect ran alone, the other
+// returns the crash reports to send to the other entries. If a suspect ran alone, the other
 // requests on the endpoint are not suspected.
 func (s *Suspects) RecordEndpointCrash(now clock.Time, inFlight []InFlightRequest) []gossip.CrashReport {
 	requests := deduplicate(inFlight)
@@ -101,9 +139,11 @@
 		if suspect != nil && m.Fingerprint != *suspect {
 			continue
 		}
-		record := s.recordCrash(now, m.Fingerprint, 1/float64(len(requests)))
-		record.regions = m.Regions
-		reports = append(reports, record.report(now))
+		record := s.getOrAdd(now, m.Fingerprint)
+		record.running, record.regions = false, m.Regions
+		seen := evidence{crash: m.Crash, at: now, starting: m.Starting, own: true, probability: 1 / float64(len(requests))}
+		s.add(record, seen)
+		reports = append(reports, s.report(now, record, seen))
 	}
 	return reports
 }
@@ -112,7 +152,7 @@
 func (s *Suspects) soleSuspect(now clock.Time, requests []InFlightRequest) *ident.Fingerprint {
 	var found *ident.Fingerprint
 	for _, m := range requests {
-		if record := s.get(now, m.Fingerprint); record == nil || record.verdict == VerdictClear {
+		if s.Verdict(now, m.Fingerprint) == VerdictClear {
 			continue
 		}
 		if found != nil || !m.Exclusive {
@@ -123,44 +163,60 @@
 	return found
 }
 
-// recordCrash records one crash with fingerprint in flight; probability is the probability
-// that it was the cause.
-func (s *Suspects) recordCrash(now clock.Time, fingerprint ident.Fingerprint, probability float64) *fingerprintRecord {
-	record := s.get(now, fingerprint)
-	if record == nil {
-		record = s.add(fingerprint)
-		record.verdict = VerdictClear
-	}
-	switch record.verdict {
-	case VerdictClear:
-		record.verdict = VerdictExclusive
-		record.probability = 0
-	default:
-		record.verdict = VerdictRefused
+// Verdict returns how a request with this fingerprint may be run. One that was at several crashes may run
+// alone after its refusal.
+func (s *Suspects) Verdict(now clock.Time, fingerprint ident.Fingerprint) Verdict {
+	if record := s.get(now, fingerprint); record != nil {
+		return s.verdictOf(now, record)
 	}
-	record.probability += probability
-	record.observed = true
-	record.running = false
-	record.expires = now.Add(s.term)
-	return record
+	return VerdictClear
 }
 
-// Verdict returns how a request with this fingerprint may be run.
-func (s *Suspects) Verdict(now clock.Time, fingerprint ident.Fingerprint) Verdict {
-	if record := s.get(now, fingerprint); record != nil {
-		return record.verdict
+func (s *Suspects) verdictOf(now clock.Time, record *fingerprintRecord) Verdict {
+	if now.Before(record.refusedUntil) || now.Before(s.refusalEnd(record)) {
+		return VerdictRefused
+	}
+	if count, _ := record.uncleared(); count > 0 {
+		return VerdictExclusive
 	}
 	return VerdictClear
 }
 
+// refusalEnd returns when the refusal because of the crashes that are known ends, or 0 if there are too few.
+func (s *Suspects) refusalEnd(record *fingerprintRecord) clock.Time {
+	count, last := record.uncleared()
+	if count < minRefusedCrashes {
+		return 0
+	}
+	return last.Add(clock.Doubled(s.config.Term, retention, count-minRefusedCrashes))
+}
+
+// uncleared returns the number of crashes since the last completion, and when the last of them was.
+func (r *fingerprintRecord) uncleared() (count int, last clock.Time) {
+	for _, e := range r.crashes {
+		if e.cleared {
+			continue
+		}
+		if count == 0 {
+			last = e.at
+		}
+		count++
+	}
+	return count, last
+}
+
 // CrashProbability estimates the probability that a request with this fingerprint caused a crash:
 // the sum of 1/n over the crashes with n requests in flight, at most 1.
 func (s *Suspects) CrashProbability(now clock.Time, fingerprint ident.Fingerprint) float64 {
-	record := s.get(now, fingerprint)
-	if record == nil || record.verdict == VerdictClear {
-		return 0
+	sum := 0.0
+	if record := s.get(now, fingerprint); record != nil {
+		for _, e := range record.crashes {
+			if !e.cleared {
+				sum += e.probability
+			}
+		}
 	}
-	return min(1, record.probability)
+	return min(1, sum)
 }
 
 // Reserve reserves the only run of a suspect and returns false if it is already reserved,
@@ -168,11 +224,14 @@
 // RecordEndpointCrash, RecordCompletion and Release release the reservation. Requests with
 // VerdictClear always get true, those with VerdictRefused false.
 func (s *Suspects) Reserve(now clock.Time, fingerprint ident.Fingerprint) bool {
-	record := s.get(now, fingerprint)
-	if record == nil || record.verdict == VerdictClear {
+	switch s.Verdict(now, fingerprint) {
+	case VerdictClear:
 		return true
+	case VerdictRefused:
+		return false
 	}
-	if record.verdict == VerdictRefused || record.running {
+	record := s.get(now, fingerprint)
+	if record.running {
 		return false
 	}
 	record.running = true
@@ -186,28 +245,25 @@
 	}
 }
 
-// RecordCompletion records that a suspect has completed. The record is kept until the suspicion
-// would have expired, so that crash reports that other entries still forward are not
-// mistaken for new ones.
+// RecordCompletion records that a request has completed, which clears it of the crashes known so far.
+// These are kept, so that reports of them that other entries still forward are not taken for new ones. The
+// end of a run that began before the refusal doesn't end that.
 func (s *Suspects) RecordCompletion(now clock.Time, fingerprint ident.Fingerprint) {
 	record := s.get(now, fingerprint)
-	if record == nil || record.verdict == VerdictRefused {
+	if record == nil || s.verdictOf(now, record) == VerdictRefused {
 		return
 	}
-	record.verdict = VerdictClear
-	record.clearedUntil = record.expires
 	record.running = false
+	for i := range record.crashes {
+		record.crashes[i].cleared = true
+	}
 }
 
 // MergeCrashReports merges the crash reports of another entry and reports whether anything changed.
 func (s *Suspects) MergeCrashReports(now clock.Time, reports []gossip.CrashReport) bool {
 	changed := false
 	for _, r := range reports {
-		if r.Remaining <= 0 {
-			continue
-		}
-		r.Remaining = min(r.Remaining, s.term)
-		if s.merge(now, r) {
+		if r.Remaining > 0 && (r.Refused || r.Crash != 0) && s.merge(now, r) {
 			changed = true
 		}
 	}
@@ -216,109 +272,166 @@
 
 // merge merges one crash report and reports whether anything changed.
 func (s *Suspects) merge(now clock.Time, report gossip.CrashReport) bool {
-	expires := now.Add(report.Remaining)
-	record := s.get(now, report.Fingerprint)
-	if record == nil {
-		record = s.add(report.Fingerprint)
+	before := s.Verdict(now, report.Fingerprint)
+	record := s.getOrAdd(now, report.Fingerprint)
+	if record.crashes == nil {
 		record.regions = report.Regions
-		record.verdict = VerdictExclusive
-		record.expires = expires
-		if report.Refused {
-			record.verdict = VerdictRefused
-		}
-		return true
+	}
+	refusedUntil := now.Add(min(report.Remaining, retention))
+	added := false
+	if report.Crash != 0 {
+		at := now.Add(min(report.Remaining, retention) - retention)
+		refusedUntil = at.Add(s.config.Term)
+		added = s.add(record, evidence{crash: report.Crash, at: at, starting: report.Starting})
 	}
 	if report.Refused {
-		return record.mergeRefusal(expires)
+		record.refusedUntil = max(record.refusedUntil, refusedUntil)
 	}
-	return record.mergeSuspicion(expires)
+	return added || s.verdictOf(now, record) != before
 }
 
-// mergeRefusal applies a refusal by another entry.
-func (r *fingerprintRecord) mergeRefusal(expires clock.Time) bool {
-	if r.verdict == VerdictRefused {
+// add adds a crash to a record unless it is known, and reports whether it did.
+func (s *Suspects) add(record *fingerprintRecord, seen evidence) bool {
+	if slices.ContainsFunc(record.crashes, func(known evidence) bool { return s.same(known, seen) }) {
 		return false
 	}
-	r.verdict = VerdictRefused
-	r.expires = expires
+	record.crashes = append(record.crashes, seen)
+	slices.SortStableFunc(record.crashes, func(a, b evidence) int { return cmp.Or(cmp.Compare(b.at, a.at), cmp.Compare(a.crash, b.crash)) })
+	record.crashes = record.crashes[:min(len(record.crashes), maxCrashes)]
+	if len(record.crashes) >= minRefusedCrashes {
+		s.suspected.remove(record.fingerprint)
+		s.refused.put(record.fingerprint, record)
+	}
 	return true
 }
 
-// mergeSuspicion applies a suspicion of another entry. A forwarded copy of this record
-// expires at most maxClockDrift earlier and maxDelay later than the record; a copy of a
-// cleared suspicion expires when that one would have. Any other expiry means another
-// crash.
-func (r *fingerprintRecord) mergeSuspicion(expires clock.Time) bool {
-	late := expires.After(r.expires.Add(maxDelay))
-	early := expires.Before(r.expires.Add(-maxClockDrift)) && expires.After(r.clearedUntil.Add(maxDelay))
+// same reports whether two pieces of evidence are of the same crash.
+func (s *Suspects) same(a, b evidence) bool {
 	switch {
-	case r.verdict == VerdictRefused:
+	case a.crash != b.crash:
 		return false
-	case r.verdict == VerdictClear && late:
-		r.verdict = VerdictExclusive
-		r.expires = expires
-		return true
-	case r.verdict == VerdictExclusive && r.observed && (late || early):
-		r.verdict = VerdictRefused
+	case s.config.SameCrash == 0:
 		return true
-	case r.verdict == VerdictExclusive && late:
-		r.expires = expires
+	case a.own && b.own:
+		return false // this entry sees each crash once
 	}
-	return false
+	return max(a.at, b.at).Sub(min(a.at, b.at)) <= s.config.SameCrash
 }
 
-// CrashReports returns the crash reports to send to other entries, most recently used
-// first. At most 64 are returned, since they are part of every probe.
+// CrashReports returns the crash reports to send to other entries, at most 32: the most important ones
+// and, if there are more, some of the others in turn.
 func (s *Suspects) CrashReports(now clock.Time) []gossip.CrashReport {
 	var reports []gossip.CrashReport
-	for record := range s.records.all() {
-		if len(reports) == maxReports {
-			break
+	for _, table := range []*lru[ident.Fingerprint, *fingerprintRecord]{s.refused, s.suspected} {
+		for record := range table.all() {
+			if s.expired(now, record) {
+				table.remove(record.fingerprint)
+				continue
+			}
+			reports = append(reports, s.reportsOf(now, record)...)
 		}
-		if record.verdict == VerdictClear || !now.Before(record.expires) {
-			continue
+	}
+	slices.SortStableFunc(reports, compareReports)
+	return selectInTurn(reports, maxReports, &s.reportCursor)
+}
+
+// Refusals returns the requests that are refused because of the crashes that are known, the most recently
+// used first, at most 16.
+func (s *Suspects) Refusals(now clock.Time) (refusals []gossip.Refusal) {
+	for record := range s.refused.all() {
+		if end := s.refusalEnd(record); now.Before(end) && len(refusals) < maxRefusals {
+			refusals = append(refusals, gossip.Refusal{Fingerprint: record.fingerprint, Refused: true, Regions: record.regions, Remaining: end.Sub(now)})
 		}
-		reports = append(reports, record.report(now))
 	}
-	return reports
+	return refusals
 }
 
-// ReportsOf returns the crash report of a fingerprint, or none if it is not suspected.
+// MergeRefusals merges the refusals of another entry, of which the crashes may not be known.
+func (s *Suspects) MergeRefusals(now clock.Time, refusals []gossip.Refusal) {
+	for _, r := range refusals {
+		if r.Refused && r.Remaining > 0 {
+			s.merge(now, gossip.CrashReport{Fingerprint: r.Fingerprint, Refused: true, Regions: r.Regions, Remaining: r.Remaining})
+		}
+	}
+}
+
+// compareReports orders crash reports by importance: those of refused requests, then those of requests
+// that were starting, then the newest.
+func compareReports(a, b gossip.CrashReport) int {
+	return cmp.Or(compareBool(a.Refused, b.Refused), compareBool(a.Starting, b.Starting), cmp.Compare(b.Remaining, a.Remaining))
+}
+
+// compareBool orders true before false.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// ReportsOf returns the crash reports of a fingerprint, or none if it is not suspected.
 func (s *Suspects) ReportsOf(now clock.Time, fingerprint ident.Fingerprint) []gossip.CrashReport {
-	record := s.get(now, fingerprint)
-	if record == nil || record.verdict == VerdictClear {
-		return nil
+	if record := s.get(now, fingerprint); record != nil {
+		return s.reportsOf(now, record)
+	}
+	return nil
+}
+
+func (s *Suspects) reportsOf(now clock.Time, record *fingerprintRecord) (reports []gossip.CrashReport) {
+	for _, e := range record.crashes {
+		if !e.cleared && now.Before(e.at.Add(retention)) {
+			reports = append(reports, s.report(now, record, e))
+		}
 	}
-	return []gossip.CrashReport{record.report(now)}
+	return reports
 }
 
-// report converts a record to the message sent to other entries.
-func (r *fingerprintRecord) report(now clock.Time) gossip.CrashReport {
+// report converts one crash of a record to the message sent to other entries.
+func (s *Suspects) report(now clock.Time, record *fingerprintRecord, seen evidence) gossip.CrashReport {
 	return gossip.CrashReport{
-		Fingerprint: r.fingerprint,
-		Refused:     r.verdict == VerdictRefused,
-		Regions:     r.regions,
-		Remaining:   r.expires.Sub(now),
+		Fingerprint: record.fingerprint, Refused: now.Before(s.refusalEnd(record)), Regions: record.regions,
+		Remaining: seen.at.Add(retention).Sub(now), Crash: seen.crash, Starting: seen.starting,
 	}
 }
 
 // get returns the unexpired record of fingerprint, or nil, and marks it as used.
 func (s *Suspects) get(now clock.Time, fingerprint ident.Fingerprint) *fingerprintRecord {
-	record, ok := s.records.get(fingerprint)
+	record, ok := s.refused.get(fingerprint)
 	if !ok {
-		return nil
+		if record, ok = s.suspected.get(fingerprint); !ok {
+			return nil
+		}
 	}
-	if !now.Before(record.expires) {
-		s.records.remove(fingerprint)
+	if s.expired(now, record) {
+		s.refused.remove(fingerprint)
+		s.suspected.remove(fingerprint)
 		return nil
 	}
 	return record
 }
 
-// add creates a record and evicts the least recently used one if there are too many.
-func (s *Suspects) add(fingerprint ident.Fingerprint) *fingerprintRecord {
-	record := &fingerprintRecord{fingerprint: fingerprint}
-	s.records.put(fingerprint, record)
+// expired reports whether a record can't affect a verdict any more.
+func (s *Suspects) expired(now clock.Time, record *fingerprintRecord) bool {
+	if now.Before(record.refusedUntil) {
+		return false
+	}
+	term := s.config.Term
+	if len(record.crashes) >= minRefusedCrashes {
+		term = max(term, retention)
+	}
+	return len(record.crashes) == 0 || !now.Before(record.crashes[0].at.Add(term))
+}
+
+// getOrAdd returns the record of fingerprint, a new one if there is none.
+func (s *Suspects) getOrAdd(now clock.Time, fingerprint ident.Fingerprint) *fingerprintRecord {
+	record := s.get(now, fingerprint)
+	if record == nil {
+		record = &fingerprintRecord{fingerprint: fingerprint}
+		s.suspected.put(fingerprint, record)
+	}
 	return record
 }
 
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -18,10 +18,11 @@
 
 const term = 10 * clock.Minute
 
-func inFlightRequests(all ...ident.Fingerprint) []crash.InFlightRequest {
+// inFlightRequests returns requests that were in flight at a crash.
+func inFlightRequests(id ident.Crash, all ...ident.Fingerprint) []crash.InFlightRequest {
 	var requests []crash.InFlightRequest
 	for _, f := range all {
-		requests = append(requests, crash.InFlightRequest{Fingerprint: f})
+		requests = append(requests, crash.InFlightRequest{Fingerprint: f, Crash: id})
 	}
 	return requests
 }
@@ -30,7 +31,7 @@
 // on the crashed endpoints that are refused.
 func TestCrasherAndHarmlessRequests(t *testing.T) {
 	suspects := crash.New(crash.Config{Term: term})
-	reports := suspects.RecordEndpointCrash(1, inFlightRequests(7, 8, 9, 9))
+	reports := suspects.RecordEndpointCrash(1, inFlightRequests(1, 7, 8, 9, 9))
 	require.Len(t, reports, 3)
 	require.InDelta(t, 1.0/3, suspects.CrashProbability(1, 7), 1e-9)
 	require.Equal(t, crash.VerdictExclusive, suspects.Verdict(1, 8))
@@ -38,8 +39,8 @@
 	require.False(t, suspects.Reserve(2, 7), "two copies must not run at once")
 	suspects.RecordCompletion(2, 8)
 	require.Equal(t, crash.VerdictClear, suspects.Verdict(3, 8))
-	reports = suspects.RecordEndpointCrash(3, []crash.InFlightRequest{{Fingerprint: 7, Exclusive: true}, {Fingerprint: 5}})
-	require.Equal(t, []gossip.CrashReport{{Fingerprint: 7, Refused: true, Remaining: term}}, reports)
+	reports = suspects.RecordEndpointCrash(3, []crash.InFlightRequest{{Fingerprint: 7, Exclusive: true, Crash: 2}, {Fingerprint: 5, Crash: 2}})
+	require.Equal(t, []gossip.CrashReport{{Fingerprint: 7, Refused: true, Remaining: term, Crash: 2}}, reports)
 	require.Equal(t, crash.VerdictClear, suspects.Verdict(3, 5))
 	require.Equal(t, crash.VerdictRefused, suspects.Verdict(3, 7))
 	require.Equal(t, crash.VerdictClear, suspects.Verdict(clock.Time(3).Add(term), 7))
@@ -49,12 +50,12 @@
 // still forwards the old crash report.
 func TestForwardedReportAfterCompletion(t *testing.T) {
 	entryA, entryB := crash.New(crash.Config{}), crash.New(crash.Config{})
-	require.True(t, entryB.MergeCrashReports(60, entryA.RecordEndpointCrash(10, inFlightRequests(1, 2))))
+	require.True(t, entryB.MergeCrashReports(60, entryA.RecordEndpointCrash(10, inFlightRequests(1, 1, 2))))
 	require.Equal(t, crash.VerdictExclusive, entryB.Verdict(60, 1))
 	entryA.RecordCompletion(100, 1)
 	require.False(t, entryA.MergeCrashReports(2000, entryB.CrashReports(1950)))
 	require.Equal(t, crash.VerdictClear, entryA.Verdict(2000, 1))
-	entryA.RecordEndpointCrash(300_000, inFlightRequests(1, 3))
+	entryA.RecordEndpointCrash(300_000, inFlightRequests(2, 1, 3))
 	entryA.MergeCrashReports(301_000, entryB.CrashReports(300_950))
 	require.Equal(t, crash.VerdictExclusive, entryA.Verdict(301_000, 1), "an old report must not count as a second crash")
 }
@@ -63,22 +64,93 @@
 // allow another run.
 func TestCrashesSeenByTwoEntries(t *testing.T) {
 	entryA, entryB := crash.New(crash.Config{}), crash.New(crash.Config{})
-	first := entryA.RecordEndpointCrash(1000, inFlightRequests(1))
-	entryB.RecordEndpointCrash(3000, inFlightRequests(1, 2))
-	require.True(t, entryB.MergeCrashReports(3050, []gossip.CrashReport{{Fingerprint: 1, Remaining: first[0].Remaining - 2050}}))
+	first := entryA.RecordEndpointCrash(1000, inFlightRequests(1, 1))
+	entryB.RecordEndpointCrash(3000, inFlightRequests(2, 1, 2))
+	require.True(t, entryB.MergeCrashReports(3050, []gossip.CrashReport{{Fingerprint: 1, Remaining: first[0].Remaining - 2050, Crash: 1}}))
 	require.Equal(t, crash.VerdictRefused, entryB.Verdict(3050, 1))
 	require.True(t, entryA.MergeCrashReports(3100, entryB.CrashReports(3050)))
 	require.Equal(t, crash.VerdictRefused, entryA.Verdict(3100, 1))
 }
 
-// Guards against unbounded memory and unbounded messages when many requests crash
-// endpoints.
+// Guards against two crashes that count as one because two entries see them at the same time, or because
+// an entry only hears of them.
+func TestCrashesAtTheSameTimeAreTwo(t *testing.T) {
+	entryA, entryB, entryC := crash.New(crash.Config{}), crash.New(crash.Config{}), crash.New(crash.Config{})
+	first := entryA.RecordEndpointCrash(1000, inFlightRequests(1, 1))
+	second := entryB.RecordEndpointCrash(1040, inFlightRequests(2, 1))
+	for _, reports := range [][]gossip.CrashReport{first, second, first} {
+		entryA.MergeCrashReports(1050, reports)
+		entryB.MergeCrashReports(1050, reports)
+		entryC.MergeCrashReports(1050, reports)
+	}
+	for name, entry := range map[string]*crash.Suspects{"first": entryA, "second": entryB, "neither": entryC} {
+		require.Equal(t, crash.VerdictRefused, entry.Verdict(1100, 1), name)
+	}
+}
+
+// Guards against one crash that counts as two because two entries see it at different times.
+func TestCrashWithoutIncarnationIsKnownByTime(t *testing.T) {
+	entryA, entryB := crash.New(crash.Config{SameCrash: 5 * clock.Second}), crash.New(crash.Config{SameCrash: 5 * clock.Second})
+	entryA.RecordEndpointCrash(1000, inFlightRequests(1, 1))
+	entryB.RecordEndpointCrash(1900, inFlightRequests(1, 1))
+	entryB.MergeCrashReports(2000, entryA.CrashReports(1950))
+	require.Equal(t, crash.VerdictExclusive, entryB.Verdict(2000, 1))
+	entryB.RecordEndpointCrash(9000, inFlightRequests(1, 1))
+	require.Equal(t, crash.VerdictRefused, entryB.Verdict(9000, 1))
+}
+
+// Guards against a request that crashes two endpoints more each time its refusal ends.
+func TestRefusalEndsLaterEachTime(t *testing.T) {
+	const refusal = 30 * clock.Second
+	suspects := crash.New(crash.Config{Term: refusal})
+	now, crashes := clock.Time(1000), 0
+	for ; now < clock.Time(5*clock.Minute); now = now.Add(clock.Second) {
+		if suspects.Verdict(now, 1) != crash.VerdictRefused {
+			crashes++
+			suspects.RecordEndpointCrash(now, inFlightRequests(ident.Crash(crashes), 1))
+		}
+	}
+	require.Equal(t, 5, crashes, "two, and one after 30, 60 and 120 seconds")
+	last := suspects.CrashReports(now)[0]
+	require.True(t, last.Refused)
+	suspects.RecordCompletion(now, 1)
+	require.Equal(t, crash.VerdictRefused, suspects.Verdict(now, 1), "the end of an earlier run does not end the refusal")
+	now = now.Add(4 * clock.Minute)
+	require.Equal(t, crash.VerdictExclusive, suspects.Verdict(now, 1))
+	suspects.RecordCompletion(now, 1)
+	require.Equal(t, crash.VerdictClear, suspects.Verdict(now, 1))
+}
+
+// Guards against a refusal that the instances prolong by telling each other.
+func TestForwardedRefusalEnds(t *testing.T) {
+	entryA, entryB := crash.New(crash.Config{Term: clock.Second}), crash.New(crash.Config{Term: clock.Second})
+	entryA.RecordEndpointCrash(1, inFlightRequests(1, 1))
+	entryA.RecordEndpointCrash(2, inFlightRequests(2, 1))
+	refusedUntil := clock.Time(0)
+	for now := clock.Time(10); now < 10_000; now += 100 {
+		entryB.MergeRefusals(now, entryA.Refusals(now))
+		entryA.MergeRefusals(now, entryB.Refusals(now))
+		if entryB.Verdict(now, 1) == crash.VerdictRefused {
+			refusedUntil = now
+		}
+	}
+	require.InDelta(t, 1000, float64(refusedUntil), 100)
+}
+
+// Guards against unbounded memory and unbounded messages when many requests are at crashes, and against bystanders
+// that displace what crashes endpoints.
 func TestBound(t *testing.T) {
 	suspects := crash.New(crash.Config{})
+	const crasher ident.Fingerprint = 1 << 40
+	suspects.RecordEndpointCrash(1, inFlightRequests(1, crasher))
+	suspects.RecordEndpointCrash(1, inFlightRequests(2, crasher))
 	for f := range ident.Fingerprint(5000) {
-		suspects.RecordEndpointCrash(1, inFlightRequests(f))
+		suspects.RecordEndpointCrash(1, inFlightRequests(3, f))
 	}
-	require.Len(t, suspects.CrashReports(1), 64)
+	reports := suspects.CrashReports(1)
+	require.Len(t, reports, 32)
+	require.Equal(t, crasher, reports[0].Fingerprint)
+	require.Len(t, suspects.Refusals(1), 1)
 	kept := 0
 	for f := range ident.Fingerprint(5000) {
 		if suspects.Verdict(1, f) == crash.VerdictExclusive {
@@ -87,6 +159,7 @@
 	}
 	require.Equal(t, 4096, kept)
 	require.Equal(t, crash.VerdictClear, suspects.Verdict(1, 0))
+	require.Equal(t, crash.VerdictRefused, suspects.Verdict(1, crasher))
 }
 
 // Guards against a request that crashes more than two endpoints although every entry
@@ -105,9 +178,10 @@
 				continue
 			default:
 				crashes++
-				inFlight := []crash.InFlightRequest{{Fingerprint: crasher, Exclusive: verdict == crash.VerdictExclusive}}
+				id := ident.Crash(crashes)
+				inFlight := []crash.InFlightRequest{{Fingerprint: crasher, Exclusive: verdict == crash.VerdictExclusive, Crash: id}}
 				if verdict == crash.VerdictClear {
-					inFlight = append(inFlight, inFlightRequests(ident.Fingerprint(rapid.IntRange(2, 9).Draw(t, "other")))...)
+					inFlight = append(inFlight, inFlightRequests(id, ident.Fingerprint(rapid.IntRange(2, 9).Draw(t, "other")))...)
 				}
 				suspects.RecordEndpointCrash(now, inFlight)
 			}
--- a/crash/parts.go
+++ b/crash/parts.go
@@ -160,7 +160,7 @@
 	slices.SortFunc(facts.PartReports, func(a, b gossip.PartReport) int {
 		return cmp.Or(cmp.Compare(b.Remaining, a.Remaining), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Request, b.Request))
 	})
-	facts.PartReports = p.selectReports(facts.PartReports)
+	facts.PartReports = selectInTurn(facts.PartReports, maxPartReports, &p.reportCursor)
 	for known := range p.cleared.all() {
 		remaining := known.expires.Sub(now)
 		if len(facts.PartClearances) < maxPartClearances && now.Before(known.announceUntil) && remaining >= minForwarded {
@@ -170,17 +170,16 @@
 	return facts
 }
 
-// selectReports returns the newest reports and, if there are more than fit into a message, some of
-// the others in turn.
-func (p *Parts) selectReports(reports []gossip.PartReport) []gossip.PartReport {
-	if len(reports) <= maxPartReports {
+// selectInTurn returns the first half of a message's reports and, if there are more than fit, some of the
+// others in turn, from the cursor on.
+func selectInTurn[T any](reports []T, most int, cursor *int) []T {
+	if len(reports) <= most {
 		return reports
 	}
-	const newest = maxPartReports / 2
-	selected, rest := slices.Clone(reports[:newest]), reports[newest:]
-	for range maxPartReports - newest {
-		p.reportCursor = (p.reportCursor + 1) % len(rest)
-		selected = append(selected, rest[p.reportCursor])
+	selected, rest := slices.Clone(reports[:most/2]), reports[most/2:]
+	for range most - most/2 {
+		*cursor = (*cursor + 1) % len(rest)
+		selected = append(selected, rest[*cursor])
 	}
 	return selected
 }
--- a/gate/parts.go
+++ b/gate/parts.go
@@ -4,7 +4,6 @@
 	"slices"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
@@ -28,8 +27,7 @@
 // crashID returns the identifier by which all instances know a crash of the endpoint as it is listed
 // now. The lock must be held.
 func (s *state) crashID(id ident.Endpoint) ident.Crash {
-	incarnation := s.listing.entries[id].Info.Incarnation
-	return ident.Crash(xxhash.Sum64String(string(id) + "\x00" + strconv.FormatInt(incarnation, 10)))
+	return crash.IDOf(id, s.listing.entries[id].Info.Incarnation)
 }
 
 // refusedPart returns the first of the prompt parts with which no request may run.
--- a/gate/state.go
+++ b/gate/state.go
@@ -132,6 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
+	s.suspects.MergeRefusals(now, facts.Refusals)
 	s.suspects.MergeCrashReports(now, facts.CrashReports)
 	s.parts.Merge(now, facts.Parts)
 	s.logRefusedParts(now)
@@ -150,7 +151,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	facts := mesh.Facts{Loads: []mesh.EndpointLoad{}, Services: s.pool.Summaries(now), CrashReports: s.suspects.CrashReports(now), Parts: s.parts.Facts(now)}
+	facts := mesh.Facts{
+		Loads: []mesh.EndpointLoad{}, Services: s.pool.Summaries(now),
+		Refusals: s.suspects.Refusals(now), CrashReports: s.suspects.CrashReports(now), Parts: s.parts.Facts(now),
+	}
 	for id, l := range s.pool.OwnLoads() {
 		facts.Loads = append(facts.Loads, mesh.EndpointLoad{Endpoint: id, Count: l.Count, PrefillBacklog: l.PrefillBacklog.Compact(), MemoryTokens: l.MemoryTokens})
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -51,7 +51,7 @@
 	Age clock.Span `msgpack:"age"`
 }
 
-// CrashReport reports that a request is suspected of crashing endpoints.
+// CrashReport reports that a request was in flight at an endpoint when that crashed.
 type CrashReport struct {
 	Fingerprint ident.Fingerprint `msgpack:"fingerprint"`
 	// Refused means that no entry should run the request again.
@@ -60,6 +60,27 @@
 	Regions []ident.Region `msgpack:"regions,omitempty"`
 	// Remaining is the remaining validity of the report.
 	Remaining clock.Span `msgpack:"rest"`
+	// Crash identifies the crash; 0 in the reports of earlier builds, which name none.
+	Crash ident.Crash `msgpack:"crash,omitempty"`
+	// Starting is set if the request had no output yet, or only since moments before the crash.
+	Starting bool `msgpack:"start,omitempty"`
+}
+
+// Refusal reports that a request is refused because it crashed endpoints. Its encoding as an array is
+// that of the crash reports of earlier builds.
+type Refusal struct {
+	Fingerprint ident.Fingerprint
+	// Refused is always set; earlier builds also send suspicions.
+	Refused bool
+	// Regions are the regions that may learn of a request bound to its home; empty means all.
+	Regions []ident.Region
+	// Remaining is the remaining time of the refusal.
+	Remaining clock.Span
+}
+
+// Visible reports whether entries of the region may learn of the refusal.
+func (r Refusal) Visible(to ident.Region) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, to)
 }
 
 // Visible reports whether entries of the region may learn of the report.
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -108,11 +108,12 @@
 	Loads []EndpointLoad
 	// Services is the capacity of the sender's region; it is sent to other regions only.
 	Services []pool.Summary
-	// CrashReports identifies requests that are suspected of crashing endpoints.
-	CrashReports []gossip.CrashReport
-	// Parts is what is known of prompt parts that crash endpoints. It is sent in a datagram of its own:
-	// a build accepts only arrays with its own number of fields.
-	Parts gossip.PartFacts `msgpack:"-"`
+	// Refusals tells which requests are refused, also to instances that don't know why.
+	Refusals []gossip.Refusal
+	// CrashReports is what is known of requests that crash endpoints, Parts the same of prompt parts. They
+	// are sent in datagrams of their own: a build accepts only arrays with its own number of fields.
+	CrashReports []gossip.CrashReport `msgpack:"-"`
+	Parts        gossip.PartFacts     `msgpack:"-"`
 }
 
 // EndpointLoad is the load that the sender puts on one endpoint.
@@ -152,8 +153,6 @@
 	regionRequestFanout = 12
 	// maxLoads bounds the endpoint loads in one message; the largest ones are kept.
 	maxLoads = 160
-	// maxCrashReports bounds the crash reports in one message.
-	maxCrashReports = 16
 	// minAliveTimeout is how long an instance counts as alive without a counter change in a small
 	// fleet.
 	minAliveTimeout = 1800 * clock.Millisecond
--- a/mesh/mixed_test.go
+++ b/mesh/mixed_test.go
@@ -13,11 +13,18 @@
 	"github.com/tanagerbridge/tanagerbridge/mesh"
 )
 
-// EarlierFacts and earlierMessage have the fields of the build before prompt parts were reported.
+// EarlierFacts, earlierReport and earlierMessage have the fields of the build before prompt parts were reported.
 type EarlierFacts struct {
 	Loads        []mesh.EndpointLoad
 	Services     []struct{ Service ident.Service }
-	CrashReports []gossip.CrashReport
+	CrashReports []earlierReport
+}
+
+type earlierReport struct {
+	Fingerprint ident.Fingerprint
+	Refused     bool
+	Regions     []ident.Region
+	Remaining   clock.Span
 }
 
 type earlierMessage struct {
@@ -43,7 +50,7 @@
 func TestMessagesOfEarlierBuild(t *testing.T) {
 	sent := mesh.Message{
 		From: mesh.Record{Name: "m1", Counter: 7}, Receiver: "m2", WantReply: true, Sent: 5, EchoedTime: 6, HoldTime: 7,
-		Facts: mesh.Facts{CrashReports: []gossip.CrashReport{{Fingerprint: 1, Remaining: 9}}, Parts: gossip.PartFacts{
+		Facts: mesh.Facts{Refusals: []gossip.Refusal{{Fingerprint: 1, Refused: true, Remaining: 9}}, Parts: gossip.PartFacts{
 			PartReports:    []gossip.PartReport{{Part: 1 << 60, Depth: 1, Crash: 2, Request: 3, Regions: []ident.Region{"r0"}, Remaining: 9}},
 			PartClearances: []gossip.PartClearance{{Part: 2, Remaining: 8}},
 		}},
@@ -53,7 +60,7 @@
 	require.Len(t, datagrams, 2)
 	var earlier, reports earlierMessage
 	require.NoError(t, codec.Decode(datagrams[0], &earlier))
-	require.Equal(t, sent.CrashReports, earlier.CrashReports)
+	require.Equal(t, []earlierReport{{Fingerprint: 1, Refused: true, Remaining: 9}}, earlier.CrashReports)
 	require.Equal(t, []any{sent.From, true, clock.Time(5), clock.Time(6), clock.Span(7)}, []any{earlier.From, earlier.WantReply, earlier.Sent, earlier.EchoedTime, earlier.HoldTime})
 	require.NoError(t, codec.Decode(datagrams[1], &reports))
 	require.Equal(t, earlierMessage{From: sent.From, Receiver: "m2"}, reports)
@@ -93,3 +100,24 @@
 	require.NoError(t, err)
 	t.Logf("%d bytes at most with three regions, %d with %d reports without regions", len(datagrams[1]), len(unbound[1]), reports)
 }
+
+// Guards against crash reports that an instance of the build before takes for part of another message, or that are
+// lost because they do not fit.
+func TestCrashReportsHaveADatagramOfTheirOwn(t *testing.T) {
+	sent := mesh.Message{From: mesh.Record{Name: "m1"}, Receiver: "m2", Facts: mesh.Facts{Parts: gossip.PartFacts{PartClearances: []gossip.PartClearance{{Part: 2, Remaining: 8}}}}}
+	regions := []ident.Region{"a-region-of-a-long-name", "another-region-of-a-long-name", "one-more-region"}
+	for i := range 32 { // the most that crash.Suspects reports
+		sent.CrashReports = append(sent.CrashReports, gossip.CrashReport{
+			Fingerprint: math.MaxUint64 - ident.Fingerprint(i), Refused: true, Regions: regions, Remaining: 10 * clock.Minute, Crash: math.MaxUint64, Starting: true,
+		})
+	}
+	datagrams, err := mesh.Datagrams(sent)
+	require.NoError(t, err)
+	require.Len(t, datagrams, 3)
+	received, err := mesh.ParseDatagram(datagrams[2])
+	require.NoError(t, err)
+	require.Equal(t, mesh.Message{From: sent.From, Receiver: "m2", Facts: mesh.Facts{CrashReports: sent.CrashReports}}, received)
+	var earlier earlierMessage
+	require.NoError(t, codec.Decode(datagrams[2], &earlier))
+	require.Equal(t, earlierMessage{From: sent.From, Receiver: "m2"}, earlier)
+}
--- a/mesh/round.go
+++ b/mesh/round.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
-	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 )
 
@@ -48,14 +47,14 @@
 		if i < joinFanout && !t.Settled(now) {
 			message.Join, message.JoinFrom = true, t.nextJoinWindow(regional)
 		}
-		message.Down, message.Loads, message.CrashReports = notices, loads, visibleReports(facts.CrashReports, p.Region)
-		message.Parts = facts.Parts.VisibleTo(p.Region)
+		message.Down, message.Loads = notices, loads
+		message.setCrashFacts(facts, p.Region)
 		messages = append(messages, OutgoingMessage{p.Mesh, message})
 	}
 	for _, p := range nextInCycle(remote, &t.remoteCursor, max(remoteFanout, t.regionCount)) {
 		message := t.messageTo(now, p)
-		message.Down, message.Services, message.CrashReports = notices, facts.Services, visibleReports(facts.CrashReports, p.Region)
-		message.Parts = facts.Parts.VisibleTo(p.Region)
+		message.Down, message.Services = notices, facts.Services
+		message.setCrashFacts(facts, p.Region)
 		messages = append(messages, OutgoingMessage{p.Mesh, message})
 	}
 	return messages
@@ -71,11 +70,17 @@
 	return sorted[:maxLoads]
 }
 
-// visibleReports returns the crash reports that a region may receive, at most maxCrashReports.
-func visibleReports(reports []gossip.CrashReport, region ident.Region) (visible []gossip.CrashReport) {
-	for _, a := range reports {
-		if a.Visible(region) && len(visible) < maxCrashReports {
-			visible = append(visible, a)
+// setCrashFacts adds what the receiver's region may learn of crashes.
+func (m *Message) setCrashFacts(facts Facts, region ident.Region) {
+	m.Refusals, m.CrashReports = visibleTo(region, facts.Refusals), visibleTo(region, facts.CrashReports)
+	m.Parts = facts.Parts.VisibleTo(region)
+}
+
+// visibleTo returns the facts that a region may learn of.
+func visibleTo[T interface{ Visible(to ident.Region) bool }](region ident.Region, facts []T) (visible []T) {
+	for _, f := range facts {
+		if f.Visible(region) {
+			visible = append(visible, f)
 		}
 	}
 	return visible
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -25,7 +25,11 @@
 	sent   map[string]int
 	// observe, if set, sees each message that is sent.
 	observe func(from string, message mesh.Message)
+	// receive, if set, gets each message that arrives.
+	receive func(to string, message mesh.Message)
 	facts   mesh.Facts
+	// factsOf, if set, replaces facts by what an instance reports.
+	factsOf func(address string) mesh.Facts
 	rng     *rand.Rand
 }
 
@@ -65,7 +69,11 @@
 		for _, from := range addresses {
 			t := w.tables[from]
 			t.RemoveExpired(w.now)
-			w.deliver(from, t.NextRound(w.now, w.facts))
+			facts := w.facts
+			if w.factsOf != nil {
+				facts = w.factsOf(from)
+			}
+			w.deliver(from, t.NextRound(w.now, facts))
 		}
 	}
 }
@@ -90,6 +98,9 @@
 		if to == nil || w.drop != nil && w.drop(from, l.Address) {
 			continue
 		}
+		if w.receive != nil {
+			w.receive(l.Address, l.Message)
+		}
 		w.deliver(l.Address, to.Receive(w.now, l.Message))
 	}
 }
@@ -255,9 +266,9 @@
 		From:          mesh.Record{Name: "a", Incarnation: 7, Counter: 9, State: mesh.Leaving, Region: "r", Zone: "z", Mesh: "m", Front: "f", Hop: "h"},
 		HearsReceiver: true, WantReply: true, Records: []mesh.Record{{Name: "b"}},
 		Facts: mesh.Facts{
-			Loads:        []mesh.EndpointLoad{{Endpoint: "e", Count: 1, PrefillBacklog: []ident.Tokens{2}, MemoryTokens: 3}},
-			Services:     []pool.Summary{{Service: "s", FreeSlots: 1, Slots: 2, Wait: 3, PrefillBacklog: []ident.Tokens{4}}},
-			CrashReports: []gossip.CrashReport{{Fingerprint: 5, Refused: true, Remaining: 6, Regions: []ident.Region{"r"}}},
+			Loads:    []mesh.EndpointLoad{{Endpoint: "e", Count: 1, PrefillBacklog: []ident.Tokens{2}, MemoryTokens: 3}},
+			Services: []pool.Summary{{Service: "s", FreeSlots: 1, Slots: 2, Wait: 3, PrefillBacklog: []ident.Tokens{4}}},
+			Refusals: []gossip.Refusal{{Fingerprint: 5, Refused: true, Remaining: 6, Regions: []ident.Region{"r"}}},
 		},
 	}
 	data, err := codec.Encode(want)
