fix(gate): a crash is believed although no health check shows it

Cause: broken connections were evidence of a crash only until a health check was answered, also by a new process, and only if one could be made; an unframed end of a response cleared the request. Change: broken connections are kept for 10 s after an answered check, which the list may still show to be a restart. An endpoint that vanishes from the list without leaving, with broken connections and no answer since, has crashed. An unframed end is no completion; the endpoint is checked and gets requests meanwhile. A line in the log tells of answered checks after broken connections.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -62,12 +62,7 @@
 	inflight.lastOutcome = string(outcome)
 	inflight.server.metrics.recordSend(string(outcome))
 	if outcome == pool.Complete {
-		inflight.server.state.recordCompleted(inflight, inflight.generated && !a.unframed)
-		if a.unframed && a.destination.local != nil {
-			ended := a.brokenRequest()
-			ended.unframed = true
-			inflight.server.state.recordBroken(a.destination.local.Endpoint, ended)
-		}
+		a.recordCompleted()
 	}
 	if a.send != nil {
 		inflight.server.state.withPool(func(p *pool.Pool, now clock.Time) { p.EndSend(now, a.send, outcome) })
@@ -79,6 +74,23 @@
 	}
 }
 
+// recordCompleted records a complete response. One that ended with its connection is not known to be whole: the
+// endpoint is checked, as it may have crashed.
+func (a *attempt) recordCompleted() {
+	state := a.inflight.server.state
+	if !a.unframed {
+		state.recordCompleted(a.inflight)
+		return
+	}
+	if a.destination.local == nil {
+		return
+	}
+	ended := a.brokenRequest()
+	ended.unframed = true
+	state.recordBroken(a.destination.local.Endpoint, ended)
+	state.withPool(func(p *pool.Pool, _ clock.Time) { p.RequestCheck(a.destination.local.Endpoint) })
+}
+
 // recordFirstByte records the first byte of the response.
 func (a *attempt) recordFirstByte() {
 	if a.timer != nil {
--- a/gate/data.go
+++ b/gate/data.go
@@ -102,8 +102,11 @@
 	for _, c := range changes {
 		s.log.Info("endpoint "+c.Kind, zap.String("endpoint", string(c.Endpoint)),
 			zap.String("service", string(c.Service)), zap.Int64("revision", int64(s.listing.position.Revision)))
-		if c.Kind == pool.Restarted {
+		switch c.Kind {
+		case pool.Restarted:
 			s.recordCrash(now, c.Endpoint)
+		case pool.Gone:
+			s.recordGone(now, c.Endpoint)
 		}
 	}
 }
--- a/gate/health.go
+++ b/gate/health.go
@@ -77,7 +77,7 @@
 		return
 	}
 	if check.SameEndpoint {
-		s.state.clearBroken(info.ID)
+		s.state.recordAnswering(info.ID)
 	}
 	s.log.Info("health checked", zap.String("endpoint", string(info.ID)), zap.Bool("healthy", check.Healthy),
 		zap.Bool("same", check.SameEndpoint), zap.Int64("cold", int64(check.ColdRemaining)))
--- a/gate/suspect.go
+++ b/gate/suspect.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// suspectTerm is how long a request that was in progress during crashes stays suspected or
-	// refused.
+	// suspectTerm is how long a request that was in progress during a crash stays suspected, and refused
+	// after the second one.
 	suspectTerm = 30 * clock.Second
+	// brokenTerm is how long after a connection broke the list may show that the endpoint crashed.
+	brokenTerm = 10 * clock.Second
 	// maxBrokenPerEndpoint bounds the broken requests that are kept for one endpoint.
 	maxBrokenPerEndpoint = 256
 	// maxLoggedSuspects bounds the requests and the prompt parts that are named in one line of the log.
@@ -34,6 +36,8 @@
 	// after brokenAt shows that the response was broken off.
 	unframed bool
 	brokenAt clock.Time
+	// answered is set if the endpoint has answered a health check since. It may have restarted before.
+	answered bool
 }
 
 // fingerprint identifies a request across sends by the parts that an endpoint receives.
@@ -59,7 +63,7 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	broken.brokenAt = now
-	s.brokenRequests[id] = slices.DeleteFunc(s.brokenRequests[id], func(b brokenRequest) bool { return b.outdated(now) })
+	s.removeOutdated(now, id)
 	if broken.Crash = s.crashID(id); len(s.brokenRequests[id]) < maxBrokenPerEndpoint {
 		s.brokenRequests[id] = append(s.brokenRequests[id], broken)
 	}
@@ -67,25 +71,44 @@
 
 // outdated reports whether the request ended too long ago to be due to a crash now.
 func (b brokenRequest) outdated(now clock.Time) bool {
-	return b.unframed && now.Sub(b.brokenAt) > unframedTerm
+	if b.unframed {
+		return now.Sub(b.brokenAt) > unframedTerm
+	}
+	return now.Sub(b.brokenAt) > brokenTerm
+}
+
+// removeOutdated forgets the requests of an endpoint that ended too long ago. The lock must be held.
+func (s *state) removeOutdated(now clock.Time, id ident.Endpoint) {
+	kept := slices.DeleteFunc(s.brokenRequests[id], func(b brokenRequest) bool { return b.outdated(now) })
+	if len(kept) == 0 {
+		delete(s.brokenRequests, id)
+		return
+	}
+	s.brokenRequests[id] = kept
 }
 
-// clearBroken records that an endpoint responds, so that broken connections were not caused by a
-// crash.
-func (s *state) clearBroken(id ident.Endpoint) {
+// recordAnswering records that an endpoint answers a health check. Only the list can still show that its
+// connections broke because of a crash: a new process may have answered.
+func (s *state) recordAnswering(id ident.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.brokenRequests, id)
+	s.removeOutdated(s.clock.Now(), id)
+	broken := s.brokenRequests[id]
+	for i := range broken {
+		broken[i].answered = true
+	}
+	if len(broken) > 0 {
+		s.log.Info("endpoint answers after broken connections", zap.String("endpoint", string(id)), zap.Int("requests", len(broken)))
+	}
 }
 
-// recordCompleted records that a request has completed. generated reports whether the endpoint has
-// generated output for it.
-func (s *state) recordCompleted(f *inflight, generated bool) {
+// recordCompleted records that a request has completed: that its response is known to be whole.
+func (s *state) recordCompleted(f *inflight) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	s.suspects.RecordCompletion(now, f.fingerprint)
-	if generated {
+	if f.generated {
 		s.parts.RecordCompletion(now, f.parts, f.route.HomeRegions)
 		s.logRefusedParts(now)
 	}
@@ -98,23 +121,29 @@
 	s.recordCrash(s.clock.Now(), id)
 }
 
+// recordGone records that an endpoint is no longer listed. If it has not said that it leaves, its
+// connections broke and it has not answered since, it has crashed. The lock must be held.
+func (s *state) recordGone(now clock.Time, id ident.Endpoint) {
+	answered := slices.ContainsFunc(s.brokenRequests[id], func(b brokenRequest) bool { return b.answered })
+	if !answered && !s.pool.Leaving(id) {
+		s.recordCrash(now, id)
+	}
+}
+
 // recordCrash distributes the suspicion among the requests that were running on a crashed
 // endpoint. The lock must be held.
 func (s *state) recordCrash(now clock.Time, id ident.Endpoint) {
-	broken := slices.DeleteFunc(s.brokenRequests[id], func(b brokenRequest) bool { return b.outdated(now) })
+	s.removeOutdated(now, id)
+	broken := s.brokenRequests[id]
 	delete(s.brokenRequests, id)
 	if len(broken) == 0 {
 		return
 	}
-	// A request whose response ended unframed counts as completed for itself, but its parts are evidence.
-	var inFlight, incomplete []crash.InFlightRequest
+	var inFlight []crash.InFlightRequest
 	for _, b := range broken {
 		inFlight = append(inFlight, b.InFlightRequest)
-		if !b.unframed {
-			incomplete = append(incomplete, b.InFlightRequest)
-		}
 	}
-	reports := s.suspects.RecordEndpointCrash(now, incomplete)
+	reports := s.suspects.RecordEndpointCrash(now, inFlight)
 	s.parts.RecordCrash(now, inFlight)
 	starting, ids, parts := startingRequests(broken)
 	s.log.Warn("endpoint crashed", zap.String("endpoint", string(id)), zap.Int("requests", len(inFlight)),
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -39,7 +39,9 @@
 	// coldUntil is when the endpoint stops being cold.
 	coldUntil clock.Time
 	// needsCheck reports whether the endpoint must pass a health check before its next request.
-	needsCheck  bool
+	needsCheck bool
+	// wantsCheck reports whether the endpoint is to be checked but gets requests meanwhile.
+	wantsCheck  bool
 	lastChecked clock.Time
 	// fullUntil is when an endpoint that refused a request may get requests again.
 	fullUntil clock.Time
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -97,14 +97,19 @@
 	}
 }
 
-// Restarted is the Change.Kind of an endpoint whose process was restarted under the same id.
-const Restarted = "reborn"
+// Kinds of changes that show a crash.
+const (
+	// Restarted is the kind of an endpoint whose process was restarted under the same id.
+	Restarted = "reborn"
+	// Gone is the kind of an endpoint that is no longer listed.
+	Gone = "gone"
+)
 
 // Change describes how a new list changed one endpoint.
 type Change struct {
 	Endpoint ident.Endpoint
 	Service  ident.Service
-	// Kind is "added", "back", "leaving", "moved", "gone" or Restarted.
+	// Kind is "added", "back", "leaving", "moved", Gone or Restarted.
 	Kind string
 }
 
@@ -237,7 +242,7 @@
 		p.removeFromIndex(missing)
 		missing.delisted, missing.missingSince = true, now
 		missing.cache.clear()
-		return "gone"
+		return Gone
 	}
 }
 
@@ -370,6 +375,9 @@
 	if check.ColdRemaining > 0 {
 		known.coldUntil = now.Add(check.ColdRemaining)
 	}
+	if known.wantsCheck {
+		known.wantsCheck, known.needsCheck = false, known.needsCheck || !check.SameEndpoint
+	}
 	switch zone := p.zone(known.Zone); {
 	case check.Healthy && check.SameEndpoint:
 		known.needsCheck = false
@@ -402,7 +410,21 @@
 		wanted := e.needsCheck || e.selfReport().limit < minRequestLimit
 		return wanted && p.refreshPermits(now, e) && e.permits.wait(now) == 0
 	}
-	return e.needsCheck
+	return e.needsCheck || e.wantsCheck
+}
+
+// RequestCheck lets an endpoint be checked, which may go on to get requests meanwhile. One with a rate limit
+// is not, as its permits are for requests.
+func (p *Pool) RequestCheck(id ident.Endpoint) {
+	if known := p.endpoints[id]; known != nil {
+		known.wantsCheck = true
+	}
+}
+
+// Leaving reports whether an endpoint leaves, according to the list or to itself.
+func (p *Pool) Leaving(id ident.Endpoint) bool {
+	known := p.endpoints[id]
+	return known != nil && known.leaving()
 }
 
 // Summary is the capacity of one region for a service.
