fix(gate): a stream goes on at the version of the software that began it

Cause: the version of an entry was decoded and dropped; nothing knew what began the stream of an earlier attempt. Change: pool keeps the version of endpoints and obeys the one that a stream needs; hops carry it both ways. resume keeps what began streams; while several versions may be in use it is shared with one owner a region. A take-up is served if its record is known, or if the list proves that one version began every stream that may be taken up; else it is refused at once.

--- a/core/ended.go
+++ b/core/ended.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxResumes is how often an attempt may be resumed at its engine.
-	maxResumes = 2
+	// maxResumptions is how often an attempt may be resumed at its engine.
+	maxResumptions = 2
 	// maxRefusals is how many endpoints may decline a request before it is refused.
 	maxRefusals = 6
 )
@@ -120,7 +120,7 @@
 		c.handleBrokenNonIdempotent(now, request, attempt)
 		return
 	}
-	if request.isEngine && !request.callerDisconnected && attempt.resumes < maxResumes {
+	if request.isEngine && !request.callerDisconnected && attempt.resumes < maxResumptions {
 		attempt.resumes++
 		c.counts.Resumed++
 		c.emit(c.dispatchOf(request, attempt, ModeResume))
--- a/gate/answer.go
+++ b/gate/answer.go
@@ -40,6 +40,8 @@
 		switch {
 		case inflight.headerSent && form != inflight.streamForm:
 			return a.handleFailure(ctx, fault.Newf("answer", relay.KindMalformed, "response does not continue the stream"))
+		case inflight.placement.Build != "" && a.buildOf(response) != inflight.placement.Build:
+			return a.handleFailure(ctx, fault.Newf("answer", relay.KindMalformed, "stream goes on at another version of the software"))
 		case form.isStream:
 			inflight.streamForm = form
 			return a.relayStream(ctx, response)
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -14,6 +14,7 @@
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/pool"
+	"github.com/tanagerbridge/tanagerbridge/resume"
 	"github.com/tanagerbridge/tanagerbridge/store"
 )
 
@@ -112,6 +113,8 @@
 	Parts           []pool.PromptPart
 	// LastEventID is the id of the last stream event that the caller has received.
 	LastEventID string
+	// FirstAttempt is the attempt that brought the first event of the stream that the caller takes up, or empty.
+	FirstAttempt resume.Attempt
 }
 
 // ForwardMeta is the metadata that is added to a request to an endpoint.
--- a/gate/events.go
+++ b/gate/events.go
@@ -103,10 +103,11 @@
 	if id := lastEventID(events); id != "" {
 		inflight.lastEventID = id
 	}
-	a.sendHeader(response)
 	if a.firstOutput == 0 {
 		a.firstOutput = inflight.server.clock.Now()
+		a.beginStream(response)
 	}
+	a.sendHeader(response)
 	if err := inflight.writeEvents(events); err != nil {
 		return err
 	}
@@ -136,8 +137,12 @@
 		return
 	}
 	inflight.headerSent = true
-	copyResponseHeader(inflight.writer.Header(), response.Header)
-	inflight.server.setConnectionClose(inflight.writer.Header())
+	header := inflight.writer.Header()
+	copyResponseHeader(header, response.Header)
+	if inflight.hopped && inflight.placement.Build != "" {
+		header[headerBuild] = []string{string(inflight.placement.Build)}
+	}
+	inflight.server.setConnectionClose(header)
 	inflight.writer.WriteHeader(response.StatusCode)
 }
 
--- a/gate/front.go
+++ b/gate/front.go
@@ -14,6 +14,7 @@
 	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/caller"
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/logs"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 )
@@ -77,6 +78,9 @@
 	}
 	request := s.newInflight(w, r, table, route, arrived)
 	request.hopped = hopped
+	if hopped {
+		request.bindHopped(r.Header)
+	}
 	defer request.release()
 	defer request.containPanic()
 	if s.refusesLate(request) {
@@ -91,7 +95,9 @@
 	ctx, cancel := context.WithTimeout(r.Context(), request.remaining().Duration())
 	defer cancel()
 	defer context.AfterFunc(s.ending, cancel)()
-	request.run(ctx)
+	if request.resolveOrigin(ctx) {
+		request.run(ctx)
+	}
 }
 
 // containEarlyPanic ends a panic before the request was accepted. The caller gets the same response as
@@ -167,22 +173,30 @@
 func (s *Server) newInflight(w http.ResponseWriter, r *http.Request, table *bundle.Table, route *bundle.Route, arrived clock.Time) *inflight {
 	meta := s.protocol.RequestMeta(r.Header)
 	header := endToEndHeader(r.Header)
-	delete(header, headerHop)
+	for _, name := range []string{headerHop, headerBuild, headerService} {
+		delete(header, name)
+	}
 	s.protocol.StripReserved(header)
 	limit := route.Timeout
 	if meta.HasTimeout {
 		limit = min(limit, meta.Timeout)
 	}
-	service := route.PickService(s.randomFraction())
-	backend := table.Backends[service]
-	return &inflight{
+	request := &inflight{
 		server: s, writer: w, request: r, table: table, route: route, meta: meta, header: header,
 		arrived: arrived, deadline: arrived.Add(limit), lastEventID: meta.LastEventID, parts: shareableParts(meta.Parts),
 		placement: pool.Request{
-			Service: service, Engine: backend.Engine, KVTokens: backend.KVTokens, ColdRate: backend.ColdRate, MaxConnections: backend.MaxConnections,
 			Parts: meta.Parts, PromptTokens: meta.PromptTokens, MaxOutputTokens: meta.MaxOutputTokens, Priority: route.Priority, Target: route.TargetLatency, HomeRegions: route.HomeRegions,
 		},
 	}
+	request.setService(route.PickService(s.randomFraction()))
+	return request
+}
+
+// setService selects the service that the request is for.
+func (f *inflight) setService(service ident.Service) {
+	backend := f.table.Backends[service]
+	f.placement.Service, f.placement.Engine, f.placement.KVTokens = service, backend.Engine, backend.KVTokens
+	f.placement.ColdRate, f.placement.MaxConnections = backend.ColdRate, backend.MaxConnections
 }
 
 // readBody reads the request body. If that fails, it sends the error response and returns false.
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -239,9 +239,11 @@
 		return destination{
 			reason: string(block), wait: after, blocked: after > f.route.TargetLatency/targetWaitDivisor, limited: block == pool.BlockLimited,
 		}
-	default:
-		return destination{reason: "no endpoint"}
 	}
+	if f.lacksBuild() {
+		return destination{reason: "no endpoint of the stream's version", wait: unknownRetryAfter, blocked: true}
+	}
+	return destination{reason: "no endpoint"}
 }
 
 // withinRetryBudget records the send and reports whether the retry budget allows it. The first
@@ -279,6 +281,9 @@
 
 // repeatable reports whether the request may be sent again although it may have run.
 func (f *inflight) repeatable() bool {
+	if f.headerSent && f.placement.Build == "" {
+		return false // another version could go on with the stream
+	}
 	return f.route.Repeatable() && f.runs < f.maxRuns()
 }
 
@@ -332,6 +337,9 @@
 	f.server.protocol.SetForwardHeader(header, forward)
 	if current.destination.hop != nil {
 		header[headerHop] = []string{"1"}
+		if f.placement.Build != "" {
+			header[headerBuild], header[headerService] = []string{string(f.placement.Build)}, []string{string(f.placement.Service)}
+		}
 	}
 	return &relay.Request{
 		Method: f.request.Method, URI: f.request.RequestURI, Host: f.request.Host, Header: header, Body: f.body,
@@ -367,5 +375,5 @@
 		zap.Bool("hopped", f.hopped), zap.Int("missing", int(f.uncachedTokens)),
 		zap.Int("prompt", int(f.meta.PromptTokens)), zap.Uint64("version", uint64(f.table.Version)), zap.Int64("total", int64(total)),
 		zap.Int64("first", int64(f.firstEventDelay)), zap.Int64("pause", int64(f.longestPause)), zap.Int64("left", int64(f.remaining())),
-		closed, part)
+		zap.String("build", string(f.placement.Build)), closed, part)
 }
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -24,6 +24,8 @@
 	active        gometrics.Counter
 	// partRefusals counts the requests that are refused because of a prompt part.
 	partRefusals gometrics.Counter
+	// unknownStreams counts the refused requests that go on with a stream of which nobody knows what began it.
+	unknownStreams gometrics.Counter
 	// panics counts the panics that were contained.
 	panics gometrics.Counter
 	// leavings counts the endpoints that have said in an answer that they leave.
@@ -45,7 +47,7 @@
 	counter := func(name string) gometrics.Counter { return gometrics.NewRegisteredCounter(name, registry) }
 	return &metrics{
 		registry: registry, connections: counter("endpoint.connections"), storeFailures: counter("store.failures"),
-		active: counter("requests.active"), partRefusals: counter("requests.part-refused"), syncBytes: counter("sync.bytes"), panics: counter("panics"), meshBytes: counter("mesh.bytes"),
+		active: counter("requests.active"), partRefusals: counter("requests.part-refused"), unknownStreams: counter("requests.stream-unknown"), syncBytes: counter("sync.bytes"), panics: counter("panics"), meshBytes: counter("mesh.bytes"),
 		leavings: counter("endpoint.leavings"), pauses: counter("endpoint.pauses"), limits: counter("endpoint.limits"), closedInRequest: counter("connections.closed.in_request"),
 	}
 }
--- a/gate/server.go
+++ b/gate/server.go
@@ -177,6 +177,8 @@
 		switch inner := r.Header.Get(headerHop) == ""; {
 		case inner && strings.HasPrefix(r.RequestURI, syncPath):
 			s.serveSync(w, r)
+		case inner && strings.HasPrefix(r.RequestURI, streamPath):
+			s.serveStreamOrigin(w, r)
 		default:
 			s.serveHop(w, r)
 		}
@@ -242,6 +244,7 @@
 	s.tasks.Go(func() { s.repeat(ctx, "control", func() { s.followControl(ctx, control) }) })
 	s.tasks.Go(func() { s.runEvery(ctx, "health checks", checkInterval.Duration(), s.startHealthChecks) })
 	s.tasks.Go(func() { s.runEvery(ctx, "zones", zoneInterval.Duration(), s.watchZones) })
+	s.tasks.Go(func() { s.runEvery(ctx, "streams", shareInterval.Duration(), s.shareStreams) })
 	s.tasks.Go(func() { s.runEvery(ctx, "maintenance", maintainInterval, s.maintain) })
 	s.tasks.Go(func() {
 		s.awaitReady(ctx)
--- a/gate/state.go
+++ b/gate/state.go
@@ -16,6 +16,7 @@
 	"github.com/tanagerbridge/tanagerbridge/mesh"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 	"github.com/tanagerbridge/tanagerbridge/relay"
+	"github.com/tanagerbridge/tanagerbridge/resume"
 	"github.com/tanagerbridge/tanagerbridge/store"
 )
 
@@ -49,8 +50,10 @@
 	table  atomic.Pointer[bundle.Table]
 	listed atomic.Bool
 
-	mu         sync.Mutex
-	pool       *pool.Pool
+	mu   sync.Mutex
+	pool *pool.Pool
+	// streams holds what began the streams of the last time.
+	streams    *resume.Table
 	retries    map[ident.Service]*budget.Window
 	relays     map[string]*relay.Pool
 	recentHops recentHops
@@ -83,7 +86,10 @@
 func newState(config Config, counters *metrics) *state {
 	created := &state{
 		settings: config.Settings, clock: config.Clock, log: config.Log, source: config.Source, metrics: counters,
-		pool:       pool.New(pool.Config{Self: config.Settings.Name, Region: config.Settings.Region, Seed: config.Seed}),
+		pool: pool.New(pool.Config{
+			Self: config.Settings.Name, Region: config.Settings.Region, Seed: config.Seed, FirstStart: config.Settings.FirstStart,
+		}),
+		streams:    resume.NewTable(),
 		answeredAt: config.Clock.Now(), listing: newListing(), retries: make(map[ident.Service]*budget.Window), relays: make(map[string]*relay.Pool),
 		recentHops: make(recentHops), hopsDownUntil: make(map[string]clock.Time),
 		responseMemory: relay.NewMemory(responseMemoryLimit(config.Settings)),
@@ -135,6 +141,9 @@
 	s.suspects.MergeRefusals(now, facts.Refusals)
 	s.suspects.MergeCrashReports(now, facts.CrashReports)
 	s.parts.Merge(now, facts.Parts)
+	for _, stream := range facts.Streams {
+		s.streams.Put(now, stream)
+	}
 	s.logRefusedParts(now)
 	if from.Region != s.settings.Region || facts.Loads == nil {
 		return
--- a/gate/sync.go
+++ b/gate/sync.go
@@ -105,7 +105,10 @@
 	ctx, cancel := context.WithTimeout(ctx, limits.query.Duration())
 	defer cancel()
 	var received syncResponse
-	err := s.query(ctx, peer.Hop, s.state.syncURI(), &received)
+	data, err := s.queryInstance(ctx, peer.Hop, s.state.syncURI(), maxSyncBytes)
+	if err == nil {
+		err = codec.Decode(data, &received)
+	}
 	if err == nil && (received.List.Age > limits.list || received.ControlAge > limits.control || received.List.Age < 0 || received.ControlAge < 0) {
 		err = fault.Newf("sync", KindPeerResponse, "list is %s old, configuration %s", received.List.Age, received.ControlAge)
 	}
@@ -117,23 +120,23 @@
 	return true
 }
 
-// query sends a request to another instance and decodes the response.
-func (s *Server) query(ctx context.Context, address, uri string, into *syncResponse) error {
+// queryInstance sends a request to another instance and returns the body of the response.
+func (s *Server) queryInstance(ctx context.Context, address, uri string, limit int64) ([]byte, error) {
 	response, err := s.state.relay(address).Do(ctx, &relay.Request{
 		Method: http.MethodGet, URI: uri, Host: address, Header: http.Header{},
 	}, repeatableConnIdle)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer response.Close()
-	data, err := response.ReadAll(maxSyncBytes)
+	data, err := response.ReadAll(limit)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return fault.Newf("query", KindPeerResponse, "status %d", response.StatusCode)
+		return nil, fault.Newf("query", KindPeerResponse, "status %d", response.StatusCode)
 	}
-	return codec.Decode(data, into)
+	return data, nil
 }
 
 // syncQuery is a query of another instance.
--- /dev/null
+++ b/gate/takeup.go
@@ -0,0 +1,257 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"github.com/tanagerbridge/tanagerbridge/bundle"
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/codec"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/mesh"
+	"github.com/tanagerbridge/tanagerbridge/pool"
+	"github.com/tanagerbridge/tanagerbridge/relay"
+	"github.com/tanagerbridge/tanagerbridge/resume"
+	"github.com/tanagerbridge/tanagerbridge/watch"
+)
+
+const (
+	// streamPath is the path at which other instances ask what began a stream: streamPath + service / attempt.
+	streamPath = "/tanager/stream/"
+	// shareInterval is the interval at which the streams that began are shared, and maxSharedStreams bounds
+	// those in one datagram.
+	shareInterval    = 100 * clock.Millisecond
+	maxSharedStreams = 64
+	// originTimeout bounds the questions to other instances about one stream, and maxOriginBytes an answer.
+	originTimeout  = 400 * clock.Millisecond
+	maxOriginBytes = 1 << 10
+	// unknownRetryAfter is when a caller is asked to come again if nobody knows what began its stream.
+	unknownRetryAfter = 500 * clock.Millisecond
+	// headerBuild names the version of the software: in a request that is passed on, the one at which the stream
+	// must go on; in a response to it, the one that runs it. headerService names the service.
+	headerBuild   = "Tanager-Build"
+	headerService = "Tanager-Service"
+)
+
+// streamOrigin is an instance's answer about a stream.
+type streamOrigin struct {
+	// Known is set if the stream can only have begun at the service and the version.
+	Known   bool
+	Service ident.Service
+	Build   ident.Build
+}
+
+// originOf returns what began a stream, as far as this instance knows: the stream itself, or that only one version
+// can have begun any stream of the service.
+func (s *state) originOf(service ident.Service, attempt resume.Attempt) streamOrigin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if stream, ok := s.streams.Find(now, attempt); ok {
+		return streamOrigin{true, stream.Service, stream.Build}
+	}
+	build, known := s.pool.OnlyBuild(now, service)
+	return streamOrigin{known, service, build}
+}
+
+// beginStream records what began a stream.
+func (s *state) beginStream(stream resume.Stream, homes []ident.Region) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams.Begin(s.clock.Now(), stream, homes)
+}
+
+// takeUnshared returns the streams that other instances must know: those of services of which several versions
+// may be in use.
+func (s *state) takeUnshared() []resume.Unshared {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	must := make(map[ident.Service]bool)
+	return s.streams.TakeUnshared(now, func(service ident.Service) bool {
+		if _, ok := must[service]; !ok {
+			_, only := s.pool.OnlyBuild(now, service)
+			must[service] = !only
+		}
+		return must[service]
+	})
+}
+
+// ownersOf returns the instances that keep what began a stream, one in each region that may learn of it; this
+// instance may be among them. The one of this region comes first.
+func (s *Server) ownersOf(attempt resume.Attempt, homes []ident.Region) (owners []mesh.Record) {
+	byRegion := map[ident.Region][]mesh.Record{s.settings.Region: {{Name: s.settings.Name, Region: s.settings.Region}}}
+	for _, peer := range s.node.Alive() {
+		byRegion[peer.Region] = append(byRegion[peer.Region], peer)
+	}
+	for region, instances := range byRegion {
+		if len(homes) > 0 && !slices.Contains(homes, region) {
+			continue
+		}
+		names := make([]ident.Entry, len(instances))
+		for i, instance := range instances {
+			names[i] = instance.Name
+		}
+		owner := watch.Rendezvous(string(attempt), names, 1)[0]
+		found := instances[slices.Index(names, owner)]
+		if region == s.settings.Region {
+			owners = slices.Insert(owners, 0, found)
+			continue
+		}
+		owners = append(owners, found)
+	}
+	return owners
+}
+
+// shareStreams tells the owners of the streams that began here what began them.
+func (s *Server) shareStreams(context.Context) {
+	unshared := s.state.takeUnshared()
+	if len(unshared) == 0 {
+		return
+	}
+	byOwner := make(map[ident.Entry][]resume.Stream)
+	for _, u := range unshared {
+		for _, owner := range s.ownersOf(u.Attempt, u.Homes) {
+			if owner.Name != s.settings.Name {
+				byOwner[owner.Name] = append(byOwner[owner.Name], u.Stream)
+			}
+		}
+	}
+	for owner, streams := range byOwner {
+		for chunk := range slices.Chunk(streams, maxSharedStreams) {
+			s.node.ShareStreams(owner, chunk)
+		}
+	}
+}
+
+// serveStreamOrigin answers another instance that asks what began a stream.
+func (s *Server) serveStreamOrigin(w http.ResponseWriter, r *http.Request) {
+	service, attempt, _ := strings.Cut(strings.TrimPrefix(r.RequestURI, streamPath), "/")
+	service, serviceErr := url.PathUnescape(service)
+	attempt, attemptErr := url.PathUnescape(attempt)
+	if serviceErr != nil || attemptErr != nil || !s.state.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	data, err := codec.Encode(s.state.originOf(ident.Service(service), resume.Attempt(attempt)))
+	if err != nil {
+		s.log.Error("encoding response to another instance failed", zap.Error(err))
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data) // an error only means that the instance has disconnected
+}
+
+// askOrigin asks another instance what began a stream.
+func (s *Server) askOrigin(ctx context.Context, peer mesh.Record, service ident.Service, attempt resume.Attempt) (origin streamOrigin) {
+	uri := streamPath + url.PathEscape(string(service)) + "/" + url.PathEscape(string(attempt))
+	data, err := s.queryInstance(ctx, peer.Hop, uri, maxOriginBytes)
+	if err == nil {
+		err = codec.Decode(data, &origin)
+	}
+	if err != nil {
+		s.log.Info("asking another instance for a stream failed", zap.String("of", string(peer.Name)), zap.Error(err))
+		return streamOrigin{}
+	}
+	return origin
+}
+
+// findOrigin returns what began a stream: as this instance knows, or the owner in this region, or any other owner.
+func (s *Server) findOrigin(ctx context.Context, service ident.Service, attempt resume.Attempt, homes []ident.Region) streamOrigin {
+	if origin := s.state.originOf(service, attempt); origin.Known {
+		return origin
+	}
+	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
+	defer cancel()
+	var others []mesh.Record
+	for _, owner := range s.ownersOf(attempt, homes) {
+		switch {
+		case owner.Name == s.settings.Name:
+		case owner.Region == s.settings.Region:
+			if origin := s.askOrigin(ctx, owner, service, attempt); origin.Known {
+				return origin
+			}
+		default:
+			others = append(others, owner)
+		}
+	}
+	answers := make(chan streamOrigin, len(others))
+	for _, owner := range others {
+		go func() {
+			var origin streamOrigin
+			defer func() { answers <- origin }()
+			s.contain("stream origin", func() { origin = s.askOrigin(ctx, owner, service, attempt) })
+		}()
+	}
+	for range others {
+		if origin := <-answers; origin.Known {
+			return origin
+		}
+	}
+	return streamOrigin{}
+}
+
+// isTakeUp reports whether the caller goes on with a stream of which it has some events.
+func (f *inflight) isTakeUp() bool { return f.route.Stream && f.meta.LastEventID != "" }
+
+// resolveOrigin binds a stream that the caller takes up to the service and the version that began it. If nobody
+// can tell them, it refuses the request and returns false: its events could be of another version.
+func (f *inflight) resolveOrigin(ctx context.Context) bool {
+	if !f.isTakeUp() || f.placement.Build != "" {
+		return true
+	}
+	origin := f.server.findOrigin(ctx, f.placement.Service, f.meta.FirstAttempt, f.route.HomeRegions)
+	allowed := slices.ContainsFunc(f.route.Targets, func(t bundle.WeightedService) bool { return t.Service == origin.Service })
+	if !origin.Known || !allowed {
+		f.server.metrics.unknownStreams.Inc(1)
+		f.refuse("unknown what began the stream", unknownRetryAfter)
+		return false
+	}
+	f.setService(origin.Service)
+	f.placement.Build = origin.Build
+	return true
+}
+
+// bindHopped binds a request of another instance to the service and the version that it names.
+func (f *inflight) bindHopped(header http.Header) {
+	service, build := ident.Service(header.Get(headerService)), ident.Build(header.Get(headerBuild))
+	if build == "" || !slices.ContainsFunc(f.route.Targets, func(t bundle.WeightedService) bool { return t.Service == service }) {
+		return
+	}
+	f.setService(service)
+	f.placement.Build = build
+}
+
+// buildOf returns the version of the software that runs a send, or "" if another instance doesn't name it.
+func (a *attempt) buildOf(response *relay.EndpointResponse) ident.Build {
+	if a.send != nil {
+		return a.send.Build()
+	}
+	return ident.Build(response.Header.Get(headerBuild))
+}
+
+// beginStream binds the stream to the version whose first event is about to be forwarded.
+func (a *attempt) beginStream(response *relay.EndpointResponse) {
+	f := a.inflight
+	f.placement.Build = a.buildOf(response)
+	if f.hopped {
+		return // the instance that passed the request on records it
+	}
+	stream := resume.Stream{Attempt: resume.Attempt(f.meta.AttemptID), Service: f.placement.Service, Build: f.placement.Build}
+	if f.isTakeUp() {
+		stream.Attempt = f.meta.FirstAttempt
+	}
+	f.server.state.beginStream(stream, f.route.HomeRegions)
+}
+
+// lacksBuild reports whether no endpoint that could serve the request is of the version at which its stream must
+// go on.
+func (f *inflight) lacksBuild() (lacks bool) {
+	f.server.state.withPool(func(p *pool.Pool, _ clock.Time) { lacks = !p.ServesBuildAnywhere(f.placement) })
+	return lacks
+}
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -22,6 +22,8 @@
 	Caller string
 	// Request identifies one request of a caller; the endpoint repeats it in its response.
 	Request string
+	// Build names a version of the endpoints' software; versions have no order.
+	Build string
 	// Key identifies a cryptographic key, which allows key rotation.
 	Key string
 )
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -15,6 +15,7 @@
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/pool"
+	"github.com/tanagerbridge/tanagerbridge/resume"
 )
 
 // Kind classifies the errors of this package.
@@ -114,6 +115,8 @@
 	// are sent in datagrams of their own: a build accepts only arrays with its own number of fields.
 	CrashReports []gossip.CrashReport `msgpack:"-"`
 	Parts        gossip.PartFacts     `msgpack:"-"`
+	// Streams tells what began streams that started at the sender.
+	Streams []resume.Stream `msgpack:"-"`
 }
 
 // EndpointLoad is the load that the sender puts on one endpoint.
--- a/mesh/mixed_test.go
+++ b/mesh/mixed_test.go
@@ -11,6 +11,7 @@
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/mesh"
+	"github.com/tanagerbridge/tanagerbridge/resume"
 )
 
 // EarlierFacts, earlierReport and earlierMessage have the fields of the build before prompt parts were reported.
@@ -121,3 +122,20 @@
 	require.NoError(t, codec.Decode(datagrams[2], &earlier))
 	require.Equal(t, earlierMessage{From: sent.From, Receiver: "m2"}, earlier)
 }
+
+// Guards against streams that another instance takes for part of another message.
+func TestSharedStreamsArrive(t *testing.T) {
+	stream := resume.Stream{Attempt: "a1", Service: "s", Build: "v1"}
+	data, err := codec.EncodeNamed(struct {
+		From     mesh.Record
+		Receiver ident.Entry
+		Streams  []resume.Stream
+	}{mesh.Record{Name: "m1"}, "m2", []resume.Stream{stream}})
+	require.NoError(t, err)
+	received, err := mesh.ParseDatagram(data)
+	require.NoError(t, err)
+	require.Equal(t, mesh.Message{From: mesh.Record{Name: "m1"}, Receiver: "m2", Facts: mesh.Facts{Streams: []resume.Stream{stream}}}, received)
+	var earlier earlierMessage
+	require.NoError(t, codec.Decode(data, &earlier))
+	require.Equal(t, earlierMessage{From: mesh.Record{Name: "m1"}, Receiver: "m2"}, earlier)
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -9,9 +9,11 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/logs"
+	"github.com/tanagerbridge/tanagerbridge/resume"
 )
 
 // Config holds the settings and callbacks of a Node.
@@ -130,21 +132,39 @@
 			n.config.Log.Warn("message not sent", zap.Error(err))
 			continue
 		}
-		address, err := net.ResolveUDPAddr("udp4", l.Address)
-		if err != nil {
-			n.config.Log.Warn("invalid instance address", zap.String("address", l.Address), zap.Error(err))
-			continue
-		}
-		for _, data := range datagrams {
-			// A lost datagram is superseded by the next round.
-			_, _ = n.socket.WriteToUDP(data, address)
-			if n.config.OnSent != nil {
-				n.config.OnSent(len(data))
-			}
+		n.sendData(l.Address, datagrams)
+	}
+}
+
+// sendData sends datagrams to an address.
+func (n *Node) sendData(to string, datagrams [][]byte) {
+	address, err := net.ResolveUDPAddr("udp4", to)
+	if err != nil {
+		n.config.Log.Warn("invalid instance address", zap.String("address", to), zap.Error(err))
+		return
+	}
+	for _, data := range datagrams {
+		// A lost datagram is superseded by the next round, or missed.
+		_, _ = n.socket.WriteToUDP(data, address)
+		if n.config.OnSent != nil {
+			n.config.OnSent(len(data))
 		}
 	}
 }
 
+// ShareStreams tells another instance what began streams. Errors are not reported, as a datagram may be lost too.
+func (n *Node) ShareStreams(to ident.Entry, streams []resume.Stream) {
+	plain := withTable(n, func(t *Table, _ clock.Time) OutgoingMessage {
+		return OutgoingMessage{t.addressOf(to), Message{From: t.Self(), Receiver: to}}
+	})
+	data, err := codec.EncodeNamed(reportMessage{From: plain.Message.From, Receiver: to, Streams: streams})
+	if err != nil {
+		n.config.Log.Warn("streams not shared", zap.Error(err))
+		return
+	}
+	n.sendData(plain.Address, [][]byte{data})
+}
+
 // SetState publishes the new state of this instance immediately.
 func (n *Node) SetState(state State) {
 	n.send(withTable(n, func(t *Table, now clock.Time) []OutgoingMessage {
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -5,15 +5,17 @@
 	"github.com/tanagerbridge/tanagerbridge/fault"
 	"github.com/tanagerbridge/tanagerbridge/gossip"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/resume"
 )
 
-// reportMessage is a datagram that reports crashes. It is encoded with the names of its fields, so that
+// reportMessage is a datagram that reports crashes or streams. It is encoded with the names of its fields, so that
 // a build that doesn't know the reports takes it for a message without any.
 type reportMessage struct {
 	From     Record
 	Receiver ident.Entry
 	Parts    gossip.PartFacts     `msgpack:",omitempty"`
 	Crashes  []gossip.CrashReport `msgpack:",omitempty"`
+	Streams  []resume.Stream      `msgpack:",omitempty"`
 }
 
 // Datagrams encodes a message, its reports about prompt parts and about requests in datagrams of their own. What is
@@ -60,5 +62,5 @@
 	if err := codec.Decode(data, &named); err != nil {
 		return Message{}, err
 	}
-	return Message{From: named.From, Receiver: named.Receiver, Facts: Facts{Parts: named.Parts, CrashReports: named.Crashes}}, nil
+	return Message{From: named.From, Receiver: named.Receiver, Facts: Facts{Parts: named.Parts, CrashReports: named.Crashes, Streams: named.Streams}}, nil
 }
--- /dev/null
+++ b/pool/build.go
@@ -0,0 +1,69 @@
+package pool
+
+import (
+	"slices"
+
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/resume"
+)
+
+// buildUse is how many listed endpoints of a service have a version of the software.
+type buildUse struct {
+	endpoints int
+	// lastListed is when the last endpoint of the version was removed from the list.
+	lastListed clock.Time
+}
+
+// countBuild records that an endpoint is added to the list (1) or removed from it (-1).
+func (s *serviceState) countBuild(now clock.Time, build ident.Build, change int) {
+	use := s.builds[build]
+	if use == nil {
+		use = &buildUse{}
+		s.builds[build] = use
+	}
+	use.endpoints += change
+	use.lastListed = now
+}
+
+// doubtBuilds records that versions may have served up to now of which this instance does not know.
+func (p *Pool) doubtBuilds(now clock.Time) {
+	p.buildsKnownFrom = max(p.buildsKnownFrom, now.Add(resume.Life))
+}
+
+// OnlyBuild returns the version that has begun every stream of a service that may still be taken up, or false if
+// that can't be told: several versions are or were listed, or this instance has not followed the list without
+// a gap for long enough.
+func (p *Pool) OnlyBuild(now clock.Time, name ident.Service) (only ident.Build, known bool) {
+	if p.lastListed == 0 || now.Sub(p.lastListed) > minListOutage || now.Before(p.buildsKnownFrom) {
+		return "", false
+	}
+	service := p.service(name)
+	for build, use := range service.builds {
+		switch {
+		case use.endpoints == 0 && now.Sub(use.lastListed) > resume.Life:
+			delete(service.builds, build)
+		case known:
+			return "", false
+		default:
+			only, known = build, true
+		}
+	}
+	return only, known
+}
+
+// ServesBuild reports whether an endpoint of a region that does not leave is of the version that a request
+// needs.
+func (p *Pool) ServesBuild(request Request, region ident.Region) bool {
+	return request.Build == "" || slices.ContainsFunc(p.service(request.Service).all, func(e *endpoint) bool {
+		return e.Region == region && request.takes(e) && !e.leaving()
+	})
+}
+
+// ServesBuildAnywhere is the same for all regions that may serve the request.
+func (p *Pool) ServesBuildAnywhere(request Request) bool {
+	return request.Build == "" || slices.ContainsFunc(p.service(request.Service).all, func(e *endpoint) bool {
+		home := len(request.HomeRegions) == 0 || slices.Contains(request.HomeRegions, e.Region)
+		return home && request.takes(e) && !e.leaving()
+	})
+}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -91,7 +91,7 @@
 	service := p.service(request.Service)
 	prefixes := prefixesOf(request.Parts)
 	plan := Plan{
-		Request: request, affinity: topByAffinity(service.all, prefixes, request.HomeRegions), prefixes: prefixes,
+		Request: request, affinity: topByAffinity(service.all, prefixes, request), prefixes: prefixes,
 		loads: make([]endpointLoad, len(service.regional)), prefillWeight: basePrefillWeight,
 	}
 	if best := plan.affinity[0]; best != nil && request.Engine {
@@ -113,7 +113,7 @@
 // endpoint is eligible. The plan must have been made at the time now.
 func (p *Pool) Choose(now clock.Time, plan Plan) (best Choice, ok bool) {
 	service := p.service(plan.Service)
-	regionalBest := topByAffinity(service.regional, plan.prefixes, plan.HomeRegions)[0]
+	regionalBest := topByAffinity(service.regional, plan.prefixes, plan.Request)[0]
 	avoided := p.avoidedZones(now)
 	lowestCost := 0.0
 	p.rotation++
@@ -148,7 +148,7 @@
 }
 
 func (p *Pool) eligible(now clock.Time, candidate *endpoint, request Request) bool {
-	if !candidate.usable(now) || p.evacuated[candidate.Zone] || now.Before(candidate.fullUntil) || !candidate.mayTry() || slices.Contains(request.ExcludedEndpoints, candidate.ID) {
+	if !request.takes(candidate) || !candidate.usable(now) || p.evacuated[candidate.Zone] || now.Before(candidate.fullUntil) || !candidate.mayTry() || slices.Contains(request.ExcludedEndpoints, candidate.ID) {
 		return false
 	}
 	if !p.hasPermit(now, candidate, request.Priority) {
@@ -182,23 +182,23 @@
 // topByAffinity returns the two endpoints with the highest rendezvous hash for a prompt's shared
 // prefix. All instances choose the same ones, so that the prefix is computed once. Endpoints with a rate
 // limit are only chosen if there are no others.
-func topByAffinity(endpoints []*endpoint, prefixes []prefix, homeRegions []ident.Region) [2]*endpoint {
+func topByAffinity(endpoints []*endpoint, prefixes []prefix, request Request) [2]*endpoint {
 	key := sharedPrefixKey(prefixes)
 	if key == 0 {
 		return [2]*endpoint{}
 	}
-	best := rankByAffinity(endpoints, key, homeRegions, (*endpoint).limited)
+	best := rankByAffinity(endpoints, key, request, (*endpoint).limited)
 	if best[0] == nil {
-		best = rankByAffinity(endpoints, key, homeRegions, func(*endpoint) bool { return false })
+		best = rankByAffinity(endpoints, key, request, func(*endpoint) bool { return false })
 	}
 	return best
 }
 
 // rankByAffinity returns the two endpoints with the highest rendezvous hash for a key, leaving out some.
-func rankByAffinity(endpoints []*endpoint, key uint64, homeRegions []ident.Region, leaveOut func(*endpoint) bool) (best [2]*endpoint) {
+func rankByAffinity(endpoints []*endpoint, key uint64, request Request, leaveOut func(*endpoint) bool) (best [2]*endpoint) {
 	var highestHash [2]uint64
 	for _, e := range endpoints {
-		if leaveOut(e) || e.leaving() || e.delisted || len(homeRegions) > 0 && !slices.Contains(homeRegions, e.Region) {
+		if leaveOut(e) || e.leaving() || e.delisted || !request.takes(e) || len(request.HomeRegions) > 0 && !slices.Contains(request.HomeRegions, e.Region) {
 			continue
 		}
 		hash := mixHash(key ^ e.idHash)
@@ -282,7 +282,7 @@
 	} else {
 		p.active[target.ID] = target
 	}
-	send := &Send{endpoint: target, request: request, choice: choice, started: now, process: target.Process()}
+	send := &Send{endpoint: target, request: request, choice: choice, started: now, process: target.Process(), build: target.Build}
 	target.sends[send] = struct{}{}
 	target.beginTrial(send)
 	if target.limited() {
--- a/pool/doc.go
+++ b/pool/doc.go
@@ -27,6 +27,8 @@
 	Incarnation int64
 	// Sequence is higher in later descriptions of a process; 0 is unknown.
 	Sequence int64
+	// Build is the version of the endpoint's software.
+	Build ident.Build
 }
 
 // Load is the load that an endpoint reports about itself.
@@ -69,8 +71,13 @@
 	HomeRegions []ident.Region
 	// ExcludedEndpoints lists endpoints that have already failed this request.
 	ExcludedEndpoints []ident.Endpoint
+	// Build is the only version of the software at which a stream may go on; empty allows any.
+	Build ident.Build
 }
 
+// takes reports whether the endpoint is of a version that may run the request.
+func (r *Request) takes(e *endpoint) bool { return r.Build == "" || r.Build == e.Build }
+
 // Choice is the selected endpoint with its estimates.
 type Choice struct {
 	Endpoint ident.Endpoint
--- a/pool/endpoint.go
+++ b/pool/endpoint.go
@@ -88,8 +88,9 @@
 	request  Request
 	choice   Choice
 	started  clock.Time
-	// process is the process of the endpoint when the send began.
+	// process is the process of the endpoint when the send began, and build the version of its software.
 	process  Process
+	build    ident.Build
 	answered bool
 	// trial reports whether the send counts in endpoint.trials.
 	trial bool
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -29,6 +29,8 @@
 	Self   ident.Entry
 	Region ident.Region
 	Seed   uint64
+	// FirstStart reports whether the whole system starts for the first time, so that no stream has begun before.
+	FirstStart bool
 }
 
 // Pool holds the endpoints of all services.
@@ -41,6 +43,8 @@
 	evacuated map[ident.Zone]bool
 	// lastListed is when the list was last read.
 	lastListed clock.Time
+	// buildsKnownFrom is when this instance will have followed the list for as long as a stream may be taken up.
+	buildsKnownFrom clock.Time
 	// graceUntil is the time until which endpoints that are missing from the list after an outage
 	// are kept.
 	graceUntil clock.Time
@@ -70,6 +74,9 @@
 	regional []*endpoint
 	// all holds the endpoints of all regions, regional those of this region.
 	all []*endpoint
+	// builds counts the listed endpoints by the version of their software. Versions that were listed are kept as
+	// long as a stream of theirs may be taken up.
+	builds map[ident.Build]*buildUse
 	// meanServiceMs is the mean time that an endpoint takes for a request.
 	meanServiceMs float64
 	// meanFirstByteMs is the mean time to first byte without waiting and prefill.
@@ -144,8 +151,12 @@
 
 // recordListed records when the list was current and whether that ends an outage of the list.
 func (p *Pool) recordListed(read clock.Time) {
+	if p.lastListed == 0 && !p.config.FirstStart {
+		p.doubtBuilds(read)
+	}
 	if p.lastListed > 0 && read.Sub(p.lastListed) > minListOutage {
 		p.graceUntil = read.Add(delistGrace)
+		p.doubtBuilds(read)
 	}
 	p.lastListed = max(p.lastListed, read)
 }
@@ -154,6 +165,7 @@
 // for delistGrace, and older entries than those known change nothing.
 func (p *Pool) RecordRestore(now clock.Time) {
 	p.graceUntil, p.copiedUntil = max(p.graceUntil, now.Add(delistGrace)), now.Add(copyTerm)
+	p.doubtBuilds(now)
 }
 
 // outdated reports whether an entry of the list is older than what is known of the endpoint.
@@ -179,12 +191,12 @@
 		}
 		return ""
 	}
-	if known != nil && !known.delisted && (known.Service != info.Service || known.Region != info.Region || known.Zone != info.Zone) {
-		p.removeFromIndex(known)
+	if known != nil && !known.delisted && (known.Service != info.Service || known.Region != info.Region || known.Zone != info.Zone || known.Build != info.Build) {
+		p.removeFromIndex(now, known)
 	}
 	kind := p.mergeEndpoint(now, info)
 	delete(p.missing, info.ID)
-	p.addToIndex(p.endpoints[info.ID])
+	p.addToIndex(now, p.endpoints[info.ID])
 	return kind
 }
 
@@ -239,7 +251,7 @@
 	case now.Before(p.graceUntil):
 		return ""
 	default:
-		p.removeFromIndex(missing)
+		p.removeFromIndex(now, missing)
 		missing.delisted, missing.missingSince = true, now
 		missing.cache.clear()
 		return Gone
@@ -250,9 +262,11 @@
 
 // addToIndex adds an endpoint to the lists of its service, which are sorted by id, unless it is
 // there already.
-func (p *Pool) addToIndex(e *endpoint) {
+func (p *Pool) addToIndex(now clock.Time, e *endpoint) {
 	service := p.service(e.Service)
+	listed := len(service.all)
 	service.all = insertEndpoint(service.all, e)
+	service.countBuild(now, e.Build, len(service.all)-listed)
 	if e.Region == p.config.Region {
 		before := len(service.regional)
 		service.regional = insertEndpoint(service.regional, e)
@@ -261,9 +275,11 @@
 }
 
 // removeFromIndex removes an endpoint from the lists of its service.
-func (p *Pool) removeFromIndex(e *endpoint) {
+func (p *Pool) removeFromIndex(now clock.Time, e *endpoint) {
 	service := p.service(e.Service)
+	listed := len(service.all)
 	service.all = deleteEndpoint(service.all, e)
+	service.countBuild(now, e.Build, len(service.all)-listed)
 	before := len(service.regional)
 	service.regional = deleteEndpoint(service.regional, e)
 	p.zone(e.Zone).endpoints += len(service.regional) - before
@@ -286,7 +302,7 @@
 func (p *Pool) service(name ident.Service) *serviceState {
 	service := p.services[name]
 	if service == nil {
-		service = &serviceState{meanServiceMs: defaultServiceMs, meanFirstByteMs: defaultFirstByteMs, tokensPerMs: defaultTokensPerMs}
+		service = &serviceState{builds: make(map[ident.Build]*buildUse), meanServiceMs: defaultServiceMs, meanFirstByteMs: defaultFirstByteMs, tokensPerMs: defaultTokensPerMs}
 		p.services[name] = service
 	}
 	return service
--- a/pool/statement.go
+++ b/pool/statement.go
@@ -86,6 +86,9 @@
 // any time.
 func (s *Send) Process() Process { return s.process }
 
+// Build returns the version of the software to which a request was sent. It may be called at any time.
+func (s *Send) Build() ident.Build { return s.build }
+
 // Process returns the process that an entry of the list describes.
 func (i *Info) Process() Process { return Process{i.ID, i.Incarnation} }
 
@@ -136,6 +139,9 @@
 // MaySend reports whether the endpoint of a send that has begun still takes requests. It is called
 // right before the request is written and takes a permit if the endpoint limits their rate.
 func (p *Pool) MaySend(now clock.Time, send *Send) bool {
+	if !send.request.takes(send.endpoint) || send.endpoint.Build != send.build {
+		return false // the endpoint has restarted since it was chosen
+	}
 	if send.excess || send.endpoint.leaving() || send.endpoint.paused(now) {
 		return false
 	}
@@ -174,14 +180,14 @@
 func (p *Pool) Blocked(now clock.Time, request Request) (block Block, after clock.Span) {
 	service := p.service(request.Service)
 	for _, e := range service.regional {
-		excluded := p.evacuated[e.Zone] || slices.Contains(request.ExcludedEndpoints, e.ID)
+		excluded := !request.takes(e) || p.evacuated[e.Zone] || slices.Contains(request.ExcludedEndpoints, e.ID)
 		reason, wait := p.blockOf(now, e, request)
 		switch {
 		case reason == BlockLeaving:
 			if block == BlockNone {
 				block = BlockLeaving
 			}
-		case !e.Leaving && !p.evacuated[e.Zone] && reason != BlockNone:
+		case !e.Leaving && !p.evacuated[e.Zone] && request.takes(e) && reason != BlockNone:
 			if block == BlockNone || block == BlockLeaving || wait < after {
 				block, after = reason, wait
 			}
--- a/store/follow_test.go
+++ b/store/follow_test.go
@@ -224,7 +224,7 @@
 
 // Guards against a whole read by an instance that already has the content from another one, and
 // against one that resumes where the history has been lost.
-func TestFollowerResumes(t *testing.T) {
+func TestFollowerContinues(t *testing.T) {
 	r := &reader{}
 	for _, k := range []string{"p/a", "p/b", "p/c", "p/d", "p/e"} {
 		r.set(k, "v")
