--- a/pool/choose.go
+++ b/pool/choose.go
@@ -148,7 +148,7 @@
 }
 
 func (p *Pool) eligible(now clock.Time, candidate *endpoint, request Request) bool {
-	if !request.takes(candidate) || !candidate.usable(now) || p.evacuated[candidate.Zone] || now.Before(candidate.fullUntil) || !candidate.mayTry() || slices.Contains(request.ExcludedEndpoints, candidate.ID) {
+	if !request.takes(candidate) || !candidate.usable(now) || p.excluded(candidate, request) || now.Before(candidate.fullUntil) || !candidate.mayTry() {
 		return false
 	}
 	if !p.hasPermit(now, candidate, request.Priority) {
--- a/pool/statement.go
+++ b/pool/statement.go
@@ -180,18 +180,20 @@
 func (p *Pool) Blocked(now clock.Time, request Request) (block Block, after clock.Span) {
 	service := p.service(request.Service)
 	for _, e := range service.regional {
-		excluded := !request.takes(e) || p.evacuated[e.Zone] || slices.Contains(request.ExcludedEndpoints, e.ID)
+		if !request.takes(e) {
+			continue
+		}
 		reason, wait := p.blockOf(now, e, request)
 		switch {
 		case reason == BlockLeaving:
 			if block == BlockNone {
 				block = BlockLeaving
 			}
-		case !e.Leaving && !p.evacuated[e.Zone] && request.takes(e) && reason != BlockNone:
+		case !e.Leaving && !p.evacuated[e.Zone] && reason != BlockNone:
 			if block == BlockNone || block == BlockLeaving || wait < after {
 				block, after = reason, wait
 			}
-		case !e.Leaving && !excluded:
+		case !e.Leaving && !p.excluded(e, request):
 			return BlockNone, 0
 		}
 	}
@@ -201,6 +203,11 @@
 	return block, after
 }
 
+// excluded reports whether a request must not go to an endpoint, whatever that says.
+func (p *Pool) excluded(e *endpoint, request Request) bool {
+	return p.evacuated[e.Zone] || slices.Contains(request.ExcludedEndpoints, e.ID)
+}
+
 // blockOf tells whether an endpoint has said that it takes no request now, and for how long.
 func (p *Pool) blockOf(now clock.Time, e *endpoint, request Request) (Block, clock.Span) {
 	switch {
