--- a/gate/conns.go
+++ b/gate/conns.go
@@ -9,7 +9,6 @@
 	"os"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,8 +43,6 @@
 	server *Server
 	mu     sync.Mutex
 	conns  map[*trackedConn]struct{}
-	// ending is set once listeners may drop packets, as connections inherit that from them.
-	ending atomic.Bool
 }
 
 func newTracker(server *Server) *tracker {
@@ -84,23 +81,9 @@
 	if !ok {
 		return conn // unreachable: all listeners are TCP listeners
 	}
-	if t.ending.Load() {
-		t.passPackets(tcp)
-	}
 	return &trackedConn{TCPConn: tcp, tracker: t, caller: caller, opened: t.server.clock.Now()}
 }
 
-// passPackets undoes what a connection has inherited from a listener that ends.
-func (t *tracker) passPackets(conn *net.TCPConn) {
-	raw, err := conn.SyscallConn()
-	if err == nil {
-		err = setMinTTL(raw, 0)
-	}
-	if err != nil {
-		t.server.log.Info("packets of a new connection may be dropped", zap.Error(err))
-	}
-}
-
 // trackedListener wraps the connections that it accepts.
 type trackedListener struct {
 	net.Listener
--- a/gate/drain.go
+++ b/gate/drain.go
@@ -80,7 +80,6 @@
 // stopListening makes the servers for callers and instances accept no further connections. Those that
 // were opened before are served.
 func (s *Server) stopListening(ctx context.Context) {
-	s.conns.ending.Store(true)
 	for i, l := range s.listeners {
 		server := s.servers[i]
 		if server != s.callerServer && server != s.hopServer {
--- a/gate/listen.go
+++ b/gate/listen.go
@@ -6,31 +6,12 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 
-	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/fault"
 )
 
-const (
-	// maxTTL is the highest time to live of a packet. As a minimum it makes a listener drop the first packet of a
-	// handshake, but not the last one.
-	maxTTL = 255
-	// handshakeTime is the time for handshakes that have begun to end.
-	handshakeTime = 20 * clock.Millisecond
-)
-
-// setMinTTL makes a socket drop packets with a lower time to live; 0 lets all pass. Connections inherit it from their
-// listener. A caller whose packet is dropped repeats it, and finds nobody listening then.
-func setMinTTL(raw syscall.RawConn, least int) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) { optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_MINTTL, least) })
-	return errors.Join(err, optionErr)
-}
-
 // stopAccepting makes a listener accept no further connections and returns those that were opened but
 // not accepted yet: closing the listener would reset them.
 func stopAccepting(listener net.Listener) ([]net.Conn, error) {
@@ -44,18 +25,16 @@
 	}
 	var accepted []int
 	var listenErr error
-	optionErr := setMinTTL(raw, maxTTL)
-	if optionErr == nil {
-		time.Sleep(handshakeTime.Duration())
-	}
 	err = raw.Control(func(fd uintptr) {
-		// The backlog stays as it is: a connection that does not fit into it is open for its caller already and
-		// would be reset.
+		// Without a backlog, at most one connection can be opened between the last accept and the end.
+		listenErr = unix.Listen(int(fd), 0)
 		accepted = acceptPending(int(fd))
-		listenErr = unix.Shutdown(int(fd), unix.SHUT_RD)
+		if listenErr == nil {
+			listenErr = unix.Shutdown(int(fd), unix.SHUT_RD)
+		}
 	})
 	conns, wrapErr := wrapConns(accepted)
-	if err := errors.Join(optionErr, err, listenErr, wrapErr); err != nil {
+	if err := errors.Join(err, listenErr, wrapErr); err != nil {
 		return conns, fault.Wrap("stop listening", KindListen, err)
 	}
 	return conns, nil
