fix(gate): an unframed end is known beyond the instance that sees it

Cause: a stream that ends with its connection may have been ended by a crash. The instance that passes it on to another one frames it anew; the first instance took it for complete, cleared the deadly part and announced that to all. Change: the response to a hop is marked if the endpoint ends it with the connection. The owners of streams are computed from one view of the instances a round, not anew for each stream.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -32,6 +32,8 @@
 	if a.statesNotRun(response, parsed) {
 		return a.handleRefusal(response, parsed.Moved)
 	}
+	a.unframed = isUnframed(response)
+	inflight.unframed = a.unframed
 	success := response.StatusCode/100 == 2
 	if success && !parsed.Signed {
 		return a.handleFailure(ctx, fault.Newf("answer", relay.KindMalformed, "success response without a signature"))
@@ -85,7 +87,6 @@
 	inflight.runs++
 	if response.StatusCode < http.StatusInternalServerError {
 		inflight.generated = response.StatusCode/100 == 2
-		a.unframed = inflight.generated && isUnframed(response)
 		a.recordEnd(pool.Complete)
 		inflight.deliverBuffered()
 		return resultDone
@@ -112,6 +113,7 @@
 	}
 	header := f.writer.Header()
 	copyResponseHeader(header, f.buffered.header)
+	f.addHopHeader(header)
 	header["Content-Length"] = []string{strconv.Itoa(len(f.buffered.body))}
 	f.server.setConnectionClose(header)
 	f.renewWrite()
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -25,7 +25,7 @@
 	ended       bool
 	// firstOutput is when the first event of this send was forwarded, 0 before.
 	firstOutput clock.Time
-	// unframed is set if the response ended with its connection, which may be due to a crash.
+	// unframed is set if the response ends with the endpoint's connection, which may be due to a crash.
 	unframed bool
 }
 
--- a/gate/events.go
+++ b/gate/events.go
@@ -139,9 +139,7 @@
 	inflight.headerSent = true
 	header := inflight.writer.Header()
 	copyResponseHeader(header, response.Header)
-	if inflight.hopped && inflight.placement.Build != "" {
-		header[headerBuild] = []string{string(inflight.placement.Build)}
-	}
+	inflight.addHopHeader(header)
 	inflight.server.setConnectionClose(header)
 	inflight.writer.WriteHeader(response.StatusCode)
 }
@@ -149,7 +147,6 @@
 // finishStream handles the end of a stream. One that ends inside an event has been broken off. So has
 // one that the end of the connection ended without any event: its end does not tell whether it is whole.
 func (a *attempt) finishStream(ctx context.Context, response *relay.EndpointResponse, rest []byte) result {
-	a.unframed = isUnframed(response)
 	switch {
 	case len(rest) > 0:
 		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "stream ends inside an event"))
@@ -162,9 +159,9 @@
 	return resultDone
 }
 
-// isUnframed reports whether only the end of the connection ends a response.
+// isUnframed reports whether only the end of the endpoint's connection ends a response.
 func isUnframed(response *relay.EndpointResponse) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 || response.Header.Get(headerUnframed) != ""
 }
 
 // lastEventID returns the id of the last event that has one, or "".
--- a/gate/hop.go
+++ b/gate/hop.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/http"
 	"slices"
 
 	"github.com/tanagerbridge/tanagerbridge/clock"
@@ -29,8 +30,23 @@
 	// headerHop marks a request that another instance passes on. Such a request is only sent to an
 	// endpoint of this region, so that it cannot loop.
 	headerHop = "Tanager-Hop"
+	// headerUnframed marks a response to such a request that its endpoint ends with the connection.
+	headerUnframed = "Tanager-Unframed"
 )
 
+// addHopHeader adds to the response to a request of another instance what that can't see itself.
+func (f *inflight) addHopHeader(header http.Header) {
+	if !f.hopped {
+		return
+	}
+	if f.placement.Build != "" {
+		header[headerBuild] = []string{string(f.placement.Build)}
+	}
+	if f.unframed {
+		header[headerUnframed] = []string{"1"}
+	}
+}
+
 // recentHops holds the times at which requests were passed to a region, by service.
 type recentHops map[hopKey][]clock.Time
 
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -91,6 +91,8 @@
 	lastEventID     string
 	// generated is set if an endpoint has generated a successful response, or the events of one.
 	generated bool
+	// unframed is set if the last response may have ended because its endpoint crashed.
+	unframed bool
 	// buffered is an endpoint's error response, which is delivered if no further send succeeds.
 	buffered *bufferedResponse
 	// lastDestination is the destination of the last send, for the log.
--- a/gate/takeup.go
+++ b/gate/takeup.go
@@ -13,7 +13,6 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/ident"
-	"github.com/tanagerbridge/tanagerbridge/mesh"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 	"github.com/tanagerbridge/tanagerbridge/relay"
 	"github.com/tanagerbridge/tanagerbridge/resume"
@@ -82,28 +81,44 @@
 	})
 }
 
-// ownersOf returns the instances that keep what began a stream, one in each region that may learn of it; this
-// instance may be among them. The one of this region comes first.
-func (s *Server) ownersOf(attempt resume.Attempt, homes []ident.Region) (owners []mesh.Record) {
-	byRegion := map[ident.Region][]mesh.Record{s.settings.Region: {{Name: s.settings.Name, Region: s.settings.Region}}}
+// regionInstances are the instances of one region that may keep what began streams.
+type regionInstances struct {
+	region    ident.Region
+	names     []ident.Entry
+	addresses map[ident.Entry]string
+}
+
+// instancesByRegion returns the instances that are ready, including this one, whose region comes first.
+func (s *Server) instancesByRegion() []regionInstances {
+	regions := []regionInstances{{s.settings.Region, []ident.Entry{s.settings.Name}, make(map[ident.Entry]string)}}
 	for _, peer := range s.node.Alive() {
-		byRegion[peer.Region] = append(byRegion[peer.Region], peer)
-	}
-	for region, instances := range byRegion {
-		if len(homes) > 0 && !slices.Contains(homes, region) {
-			continue
-		}
-		names := make([]ident.Entry, len(instances))
-		for i, instance := range instances {
-			names[i] = instance.Name
+		index := slices.IndexFunc(regions, func(r regionInstances) bool { return r.region == peer.Region })
+		if index < 0 {
+			index = len(regions)
+			regions = append(regions, regionInstances{region: peer.Region, addresses: make(map[ident.Entry]string)})
 		}
-		owner := watch.Rendezvous(string(attempt), names, 1)[0]
-		found := instances[slices.Index(names, owner)]
-		if region == s.settings.Region {
-			owners = slices.Insert(owners, 0, found)
+		regions[index].names = append(regions[index].names, peer.Name)
+		regions[index].addresses[peer.Name] = peer.Hop
+	}
+	return regions
+}
+
+// owner is an instance that keeps what began a stream.
+type owner struct {
+	name    ident.Entry
+	region  ident.Region
+	address string
+}
+
+// ownersOf returns the instances that keep what began a stream, one in each region that may learn of it, in the order
+// of the regions; this instance may be among them.
+func ownersOf(regions []regionInstances, attempt resume.Attempt, homes []ident.Region) (owners []owner) {
+	for _, r := range regions {
+		if len(homes) > 0 && !slices.Contains(homes, r.region) {
 			continue
 		}
-		owners = append(owners, found)
+		name := watch.Rendezvous(string(attempt), r.names, 1)[0]
+		owners = append(owners, owner{name, r.region, r.addresses[name]})
 	}
 	return owners
 }
@@ -114,17 +129,17 @@
 	if len(unshared) == 0 {
 		return
 	}
-	byOwner := make(map[ident.Entry][]resume.Stream)
+	regions, byOwner := s.instancesByRegion(), make(map[ident.Entry][]resume.Stream)
 	for _, u := range unshared {
-		for _, owner := range s.ownersOf(u.Attempt, u.Homes) {
-			if owner.Name != s.settings.Name {
-				byOwner[owner.Name] = append(byOwner[owner.Name], u.Stream)
+		for _, o := range ownersOf(regions, u.Attempt, u.Homes) {
+			if o.name != s.settings.Name {
+				byOwner[o.name] = append(byOwner[o.name], u.Stream)
 			}
 		}
 	}
-	for owner, streams := range byOwner {
+	for name, streams := range byOwner {
 		for chunk := range slices.Chunk(streams, maxSharedStreams) {
-			s.node.ShareStreams(owner, chunk)
+			s.node.ShareStreams(name, chunk)
 		}
 	}
 }
@@ -148,14 +163,14 @@
 }
 
 // askOrigin asks another instance what began a stream.
-func (s *Server) askOrigin(ctx context.Context, peer mesh.Record, service ident.Service, attempt resume.Attempt) (origin streamOrigin) {
+func (s *Server) askOrigin(ctx context.Context, asked owner, service ident.Service, attempt resume.Attempt) (origin streamOrigin) {
 	uri := streamPath + url.PathEscape(string(service)) + "/" + url.PathEscape(string(attempt))
-	data, err := s.queryInstance(ctx, peer.Hop, uri, maxOriginBytes)
+	data, err := s.queryInstance(ctx, asked.address, uri, maxOriginBytes)
 	if err == nil {
 		err = codec.Decode(data, &origin)
 	}
 	if err != nil {
-		s.log.Info("asking another instance for a stream failed", zap.String("of", string(peer.Name)), zap.Error(err))
+		s.log.Info("asking another instance for a stream failed", zap.String("of", string(asked.name)), zap.Error(err))
 		return streamOrigin{}
 	}
 	return origin
@@ -168,24 +183,24 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
 	defer cancel()
-	var others []mesh.Record
-	for _, owner := range s.ownersOf(attempt, homes) {
+	var others []owner
+	for _, o := range ownersOf(s.instancesByRegion(), attempt, homes) {
 		switch {
-		case owner.Name == s.settings.Name:
-		case owner.Region == s.settings.Region:
-			if origin := s.askOrigin(ctx, owner, service, attempt); origin.Known {
+		case o.name == s.settings.Name:
+		case o.region == s.settings.Region:
+			if origin := s.askOrigin(ctx, o, service, attempt); origin.Known {
 				return origin
 			}
 		default:
-			others = append(others, owner)
+			others = append(others, o)
 		}
 	}
 	answers := make(chan streamOrigin, len(others))
-	for _, owner := range others {
+	for _, o := range others {
 		go func() {
 			var origin streamOrigin
 			defer func() { answers <- origin }()
-			s.contain("stream origin", func() { origin = s.askOrigin(ctx, owner, service, attempt) })
+			s.contain("stream origin", func() { origin = s.askOrigin(ctx, o, service, attempt) })
 		}()
 	}
 	for range others {
