--- a/mesh/mixed_test.go
+++ b/mesh/mixed_test.go
@@ -115,6 +115,7 @@
 	datagrams, err := mesh.Datagrams(sent)
 	require.NoError(t, err)
 	require.Len(t, datagrams, 3)
+	t.Logf("%d bytes with three regions", len(datagrams[2]))
 	received, err := mesh.ParseDatagram(datagrams[2])
 	require.NoError(t, err)
 	require.Equal(t, mesh.Message{From: sent.From, Receiver: "m2", Facts: mesh.Facts{CrashReports: sent.CrashReports}}, received)
