fix(gate): after a refusal one instance tries the request, not all

Cause: once the refusal of a request that crashes endpoints ends, every instance ran the copies that came to it until the next crash was known. Change: a request that was at several crashes runs as a trial after its refusal, at the instance that is chosen for it among the live ones, once in 10 s and at one endpoint, as a refused prompt part does. TestTrialAfterRefusal.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -44,6 +44,8 @@
 	maxReports = 32
 	// maxRefusals bounds the refusals in one message.
 	maxRefusals = 16
+	// trialInterval is the time between two trials of a request whose refusal has ended.
+	trialInterval = 10 * clock.Second
 	// maxDelay bounds the delay of a forwarded message.
 	maxDelay = 5 * clock.Second
 )
@@ -100,6 +102,8 @@
 	crashes []evidence
 	// refusedUntil is the end of a refusal that another entry has reported. Its evidence may arrive later.
 	refusedUntil clock.Time
+	// nextTrial is when a request that was at several crashes may be tried again; see StartTrial.
+	nextTrial clock.Time
 	// running is set while the suspect's only run is reserved or in progress; see Reserve.
 	running bool
 }
@@ -238,6 +242,27 @@
 	return true
 }
 
+// Tried reports whether a request was at several crashes and is no longer refused, so that a single run decides.
+func (s *Suspects) Tried(now clock.Time, fingerprint ident.Fingerprint) bool {
+	record := s.get(now, fingerprint)
+	if record == nil || s.verdictOf(now, record) != VerdictExclusive {
+		return false
+	}
+	count, _ := record.uncleared()
+	return count >= minRefusedCrashes
+}
+
+// StartTrial reports whether such a request may run now, and if so records that it does: once in trialInterval, the
+// time within which a crash becomes known.
+func (s *Suspects) StartTrial(now clock.Time, fingerprint ident.Fingerprint) bool {
+	record := s.get(now, fingerprint)
+	if record == nil || now.Before(record.nextTrial) {
+		return false
+	}
+	record.nextTrial = now.Add(trialInterval)
+	return true
+}
+
 // Release releases the reservation of a run without a result, such as a cancelled one.
 func (s *Suspects) Release(now clock.Time, fingerprint ident.Fingerprint) {
 	if record := s.get(now, fingerprint); record != nil {
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -194,3 +194,23 @@
 		require.LessOrEqual(t, crashes, 2)
 	})
 }
+
+// Guards against copies of a request that all run once its refusal has ended.
+func TestTrialAfterRefusal(t *testing.T) {
+	suspects := crash.New(crash.Config{Term: 30 * clock.Second})
+	require.False(t, suspects.Tried(1000, 1))
+	require.False(t, suspects.StartTrial(1000, 1))
+	suspects.RecordEndpointCrash(1000, inFlightRequests(1, 1))
+	require.False(t, suspects.Tried(1000, 1), "after one crash any instance may run it")
+	suspects.RecordEndpointCrash(2000, inFlightRequests(2, 1))
+	require.False(t, suspects.Tried(2000, 1))
+	ended := clock.Time(2000 + 30*clock.Second)
+	require.True(t, suspects.Tried(ended, 1))
+	require.True(t, suspects.StartTrial(ended, 1))
+	require.False(t, suspects.StartTrial(ended.Add(9*clock.Second), 1))
+	require.True(t, suspects.StartTrial(ended.Add(10*clock.Second), 1))
+	suspects.RecordEndpointCrash(ended.Add(11*clock.Second), inFlightRequests(3, 1))
+	require.False(t, suspects.Tried(ended.Add(12*clock.Second), 1))
+	suspects.RecordCompletion(ended.Add(2*clock.Minute), 1)
+	require.False(t, suspects.Tried(ended.Add(2*clock.Minute), 1), "it has completed")
+}
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -31,6 +31,9 @@
 	// maxDelayPercent is the expected delay, in percent of the target, above which a request is
 	// refused: late work delays the requests behind it.
 	maxDelayPercent = 120
+	// takeUpDelayDivisor limits the expected delay of a stream that a caller takes up to 1/takeUpDelayDivisor of
+	// the time that is left: the rest of the stream takes time too.
+	takeUpDelayDivisor = 2
 	// deadlineMargin is the difference between the caller's deadline and the one given to the
 	// endpoint.
 	deadlineMargin = 10 * clock.Millisecond
@@ -193,7 +196,11 @@
 
 func (f *inflight) mayWait() bool {
 	waited := f.server.clock.Now().Sub(f.arrived)
-	return f.sends < maxSends && waited < f.route.TargetLatency/targetWaitDivisor && f.remaining() > 4*chooseInterval
+	limit := f.route.TargetLatency / targetWaitDivisor
+	if f.isTakeUp() {
+		limit = f.route.TargetLatency
+	}
+	return f.sends < maxSends && waited < limit && f.remaining() > 4*chooseInterval
 }
 
 // chooseDestination returns the destination with the lowest expected cost. If it returns false,
@@ -220,13 +227,23 @@
 	if !found {
 		return f.noDestination(plan), false
 	}
-	if best.wait > 0 && best.delay > f.route.TargetLatency*maxDelayPercent/100 {
+	if best.wait > 0 && best.delay > f.maxDelay() {
 		best.reason = "overload"
 		return best, false
 	}
 	return best, true
 }
 
+// maxDelay returns the expected delay above which the request is refused. A caller that goes on with a stream has
+// a part of the answer already, which is lost if nobody goes on: only its own time counts.
+func (f *inflight) maxDelay() clock.Span {
+	limit := f.route.TargetLatency * maxDelayPercent / 100
+	if f.isTakeUp() {
+		return max(limit, f.remaining()/takeUpDelayDivisor)
+	}
+	return limit
+}
+
 // noDestination returns why there is no destination for the request.
 func (f *inflight) noDestination(plan pool.Plan) destination {
 	var block pool.Block
--- a/gate/parts.go
+++ b/gate/parts.go
@@ -73,16 +73,27 @@
 }
 
 // crashReason tells why a request must not run because of crashes of endpoints, or returns "". A
-// request with a refused prompt part may become its trial.
+// request that was refused, or has a refused prompt part, may become the trial.
 func (f *inflight) crashReason() string {
-	if f.server.state.crashRefused(f.fingerprint) {
+	if f.trial && f.sends == 0 {
+		return ""
+	}
+	switch refused, tried := f.server.state.crashRefused(f.fingerprint); {
+	case refused || tried && !f.mayTry():
 		return "request crashed endpoints"
+	case tried:
+		f.trial = f.server.state.startSuspectTrial(f.fingerprint, f.server.liveInstances())
+		if !f.trial {
+			return "request crashed endpoints"
+		}
+		f.server.log.Info("refused request tried", zap.String("request", f.meta.AttemptID))
+		return ""
 	}
 	part, refused := f.server.state.refusedPart(f.parts)
-	if !refused || f.trial && f.sends == 0 {
+	if !refused {
 		return ""
 	}
-	if f.sends == 0 && !f.hopped && f.route.Allows(f.server.settings.Region) && f.server.state.startTrial(f.parts, f.server.liveInstances()) {
+	if f.mayTry() && f.server.state.startTrial(f.parts, f.server.liveInstances()) {
 		f.trial = true
 		f.server.log.Info("refused prompt part tried", zap.String("request", f.meta.AttemptID), zap.String("part", partName(part)))
 		return ""
@@ -92,6 +103,11 @@
 	return "prompt part crashed endpoints"
 }
 
+// mayTry reports whether this instance may run the request as a trial, at an endpoint of its region.
+func (f *inflight) mayTry() bool {
+	return f.sends == 0 && !f.hopped && f.route.Allows(f.server.settings.Region)
+}
+
 // liveInstances returns the names of the instances that are ready, including this one.
 func (s *Server) liveInstances() []ident.Entry {
 	live := []ident.Entry{s.settings.Name}
--- a/gate/suspect.go
+++ b/gate/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -9,6 +10,7 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/watch"
 )
 
 const (
@@ -50,11 +52,23 @@
 	return ident.Fingerprint(digest.Sum64())
 }
 
-// crashRefused reports whether a request must not run because it has crashed too many endpoints.
-func (s *state) crashRefused(fingerprint ident.Fingerprint) bool {
+// crashRefused reports whether a request must not run because it has crashed too many endpoints, and whether its
+// refusal has ended, so that it may only run as a trial.
+func (s *state) crashRefused(fingerprint ident.Fingerprint) (refused, tried bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.suspects.Verdict(s.clock.Now(), fingerprint) == crash.VerdictRefused
+	now := s.clock.Now()
+	return s.suspects.Verdict(now, fingerprint) == crash.VerdictRefused, s.suspects.Tried(now, fingerprint)
+}
+
+// startSuspectTrial reports whether such a request may run now. One of the live instances tries it.
+func (s *state) startSuspectTrial(fingerprint ident.Fingerprint, live []ident.Entry) bool {
+	if !slices.Contains(watch.Rendezvous(strconv.FormatUint(uint64(fingerprint), 16), live, 1), s.settings.Name) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.StartTrial(s.clock.Now(), fingerprint)
 }
 
 // recordBroken records a request whose connection to an endpoint broke.
