--- a/gate/server.go
+++ b/gate/server.go
@@ -303,7 +303,7 @@
 	}
 }
 
-// maintain closes idle connections and updates the instances that divide cold endpoints among
+// maintain closes idle connections, forgets requests whose connections broke long ago, and updates the instances that divide cold endpoints among
 // themselves.
 func (s *Server) maintain(context.Context) {
 	s.updateMembers()
@@ -313,6 +313,7 @@
 	for _, r := range s.state.relays {
 		r.CloseIdle(now)
 	}
+	s.state.removeAllOutdated(s.clock.Now())
 }
 
 // updateMembers tells the pool which instances of the region divide limits among themselves.
--- a/gate/suspect.go
+++ b/gate/suspect.go
@@ -101,6 +101,13 @@
 	s.brokenRequests[id] = kept
 }
 
+// removeAllOutdated does the same for all endpoints. The lock must be held.
+func (s *state) removeAllOutdated(now clock.Time) {
+	for id := range s.brokenRequests {
+		s.removeOutdated(now, id)
+	}
+}
+
 // recordAnswering records that an endpoint answers a health check. Only the list can still show that its
 // connections broke because of a crash: a new process may have answered.
 func (s *state) recordAnswering(id ident.Endpoint) {
