fix(gate): what an older list proves does not decide where a stream goes on

Cause: an instance took its own list as the proof that one version began every stream, also if another instance knew a newer version already and had begun the stream at that. Change: a record comes first, and the owner in the region is asked for one before the list decides. Before and after: TestTakeUpAtInstanceWithOlderList fails before (a stream of v2 goes on at v1).

--- a/gate/takeup.go
+++ b/gate/takeup.go
@@ -40,9 +40,11 @@
 // streamOrigin is an instance's answer about a stream.
 type streamOrigin struct {
 	// Known is set if the stream can only have begun at the service and the version.
-	Known   bool
-	Service ident.Service
-	Build   ident.Build
+	Known bool
+	// Recorded is set if the stream itself is known. A conclusion from the list may be as old as that.
+	Recorded bool
+	Service  ident.Service
+	Build    ident.Build
 }
 
 // originOf returns what began a stream, as far as this instance knows: the stream itself, or that only one version
@@ -52,10 +54,10 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	if stream, ok := s.streams.Find(now, attempt); ok {
-		return streamOrigin{true, stream.Service, stream.Build}
+		return streamOrigin{Known: true, Recorded: true, Service: stream.Service, Build: stream.Build}
 	}
 	build, known := s.pool.OnlyBuild(now, service)
-	return streamOrigin{known, service, build}
+	return streamOrigin{Known: known, Service: service, Build: build}
 }
 
 // beginStream records what began a stream.
@@ -176,10 +178,12 @@
 	return origin
 }
 
-// findOrigin returns what began a stream: as this instance knows, or the owner in this region, or any other owner.
+// findOrigin returns what began a stream. A record of this instance or of the owner in this region comes before what
+// either concludes from the list, and that before the answers of the other owners.
 func (s *Server) findOrigin(ctx context.Context, service ident.Service, attempt resume.Attempt, homes []ident.Region) streamOrigin {
-	if origin := s.state.originOf(service, attempt); origin.Known {
-		return origin
+	best := s.state.originOf(service, attempt)
+	if best.Recorded {
+		return best
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
 	defer cancel()
@@ -188,13 +192,16 @@
 		switch {
 		case o.name == s.settings.Name:
 		case o.region == s.settings.Region:
-			if origin := s.askOrigin(ctx, o, service, attempt); origin.Known {
-				return origin
+			if origin := s.askOrigin(ctx, o, service, attempt); origin.Recorded || !best.Known {
+				best = origin
 			}
 		default:
 			others = append(others, o)
 		}
 	}
+	if best.Known {
+		return best
+	}
 	answers := make(chan streamOrigin, len(others))
 	for _, o := range others {
 		go func() {
