refactor(bundle): one test of a route's services, and a shorter name for the id of a crash

Cause: the question whether a route uses a service stood twice in gate/takeup.go, found by reading the diff; crash.IDOf repeats what its package says. Change: bundle.Route.MayUse; crash.ID. Result: behaviour stays as it is; the tests of bundle, crash, core and gate pass.

--- a/bundle/route.go
+++ b/bundle/route.go
@@ -41,6 +41,11 @@
 	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
 }
 
+// MayUse reports whether the route sends requests to the service.
+func (r *Route) MayUse(service ident.Service) bool {
+	return slices.ContainsFunc(r.Targets, func(t WeightedService) bool { return t.Service == service })
+}
+
 // WeightedService is a service of a route with its weight.
 type WeightedService struct {
 	Service ident.Service `json:"service"`
--- a/core/ended.go
+++ b/core/ended.go
@@ -162,9 +162,9 @@
 // an earlier crash was known, so that no other entry can have seen this one.
 func (c *Core) crashID(id ident.Endpoint, attempt fleet.Attempt) ident.Crash {
 	if attempt.Exclusive {
-		return crash.IDOf(id+ident.Endpoint("\x00"+string(c.entry)+"\x00"+string(attempt.Request)), int64(attempt.Number))
+		return crash.ID(id+ident.Endpoint("\x00"+string(c.entry)+"\x00"+string(attempt.Request)), int64(attempt.Number))
 	}
-	return crash.IDOf(id, 0)
+	return crash.ID(id, 0)
 }
 
 // visibleRegions returns the regions to which a home-bound request may be reported, nil
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -76,8 +76,8 @@
 	Crash ident.Crash
 }
 
-// IDOf identifies the crash of one process of an endpoint.
-func IDOf(endpoint ident.Endpoint, incarnation int64) ident.Crash {
+// ID identifies the crash of one process of an endpoint.
+func ID(endpoint ident.Endpoint, incarnation int64) ident.Crash {
 	return ident.Crash(xxhash.Sum64String(string(endpoint) + "\x00" + strconv.FormatInt(incarnation, 10)))
 }
 
--- a/gate/parts.go
+++ b/gate/parts.go
@@ -27,7 +27,7 @@
 // crashID returns the identifier by which all instances know a crash of the endpoint as it is listed
 // now. The lock must be held.
 func (s *state) crashID(id ident.Endpoint) ident.Crash {
-	return crash.IDOf(id, s.listing.entries[id].Info.Incarnation)
+	return crash.ID(id, s.listing.entries[id].Info.Incarnation)
 }
 
 // refusedPart returns the first of the prompt parts with which no request may run.
--- a/gate/takeup.go
+++ b/gate/takeup.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/ident"
@@ -228,8 +227,7 @@
 		return true
 	}
 	origin := f.server.findOrigin(ctx, f.placement.Service, f.meta.FirstAttempt, f.route.HomeRegions)
-	allowed := slices.ContainsFunc(f.route.Targets, func(t bundle.WeightedService) bool { return t.Service == origin.Service })
-	if !origin.Known || !allowed {
+	if !origin.Known || !f.route.MayUse(origin.Service) {
 		f.server.metrics.unknownStreams.Inc(1)
 		f.refuse("unknown what began the stream", unknownRetryAfter)
 		return false
@@ -242,7 +240,7 @@
 // bindHopped binds a request of another instance to the service and the version that it names.
 func (f *inflight) bindHopped(header http.Header) {
 	service, build := ident.Service(header.Get(headerService)), ident.Build(header.Get(headerBuild))
-	if build == "" || !slices.ContainsFunc(f.route.Targets, func(t bundle.WeightedService) bool { return t.Service == service }) {
+	if build == "" || !f.route.MayUse(service) {
 		return
 	}
 	f.setService(service)
