refactor(crash): ids from words, names that say what they hold

Cause: the role entry built an id by gluing words into an endpoint's name; the table called refused holds requests that are on trial too; Tried reads as past; maxDelay was used by the prompt parts only; the choice of the instance that runs a trial stood twice, and each request was looked up twice. Change: crash.ID takes words; repeated, NeedsTrial; minForwarded has its own value; state.tries; a clear request costs one look-up.

--- a/core/ended.go
+++ b/core/ended.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"strconv"
+
 	"github.com/tanagerbridge/tanagerbridge/bundle"
 	"github.com/tanagerbridge/tanagerbridge/burn"
 	"github.com/tanagerbridge/tanagerbridge/caller"
@@ -162,9 +164,9 @@
 // an earlier crash was known, so that no other entry can have seen this one.
 func (c *Core) crashID(id ident.Endpoint, attempt fleet.Attempt) ident.Crash {
 	if attempt.Exclusive {
-		return crash.ID(id+ident.Endpoint("\x00"+string(c.entry)+"\x00"+string(attempt.Request)), int64(attempt.Number))
+		return crash.ID(id, string(c.entry), string(attempt.Request), strconv.Itoa(int(attempt.Number)))
 	}
-	return crash.ID(id, 0)
+	return crash.ID(id)
 }
 
 // visibleRegions returns the regions to which a home-bound request may be reported, nil
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -5,7 +5,7 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -46,8 +46,6 @@
 	maxRefusals = 16
 	// trialInterval is the time between two trials of a request whose refusal has ended.
 	trialInterval = 10 * clock.Second
-	// maxDelay bounds the delay of a forwarded message.
-	maxDelay = 5 * clock.Second
 )
 
 // Config configures Suspects.
@@ -76,9 +74,9 @@
 	Crash ident.Crash
 }
 
-// ID identifies the crash of one process of an endpoint.
-func ID(endpoint ident.Endpoint, incarnation int64) ident.Crash {
-	return ident.Crash(xxhash.Sum64String(string(endpoint) + "\x00" + strconv.FormatInt(incarnation, 10)))
+// ID identifies the crash of an endpoint. Words that tell its crashes apart may follow, such as the incarnation.
+func ID(endpoint ident.Endpoint, words ...string) ident.Crash {
+	return ident.Crash(xxhash.Sum64String(strings.Join(append([]string{string(endpoint)}, words...), "\x00")))
 }
 
 // Suspects finds the requests that crash endpoints. It keeps, by fingerprint, the crashes at which a
@@ -86,10 +84,10 @@
 // agree, in whatever order it arrives. It is not safe for concurrent use.
 type Suspects struct {
 	config Config
-	// suspected holds the requests that were at one crash, refused those that were at more, so that
+	// suspected holds the requests that were at one crash, repeated those that were at more, so that
 	// bystanders of many crashes can't displace these.
 	suspected *lru[ident.Fingerprint, *fingerprintRecord]
-	refused   *lru[ident.Fingerprint, *fingerprintRecord]
+	repeated  *lru[ident.Fingerprint, *fingerprintRecord]
 	// reportCursor is the position in the reports that are told in turn.
 	reportCursor int
 }
@@ -128,7 +126,7 @@
 	return &Suspects{
 		config:    config,
 		suspected: newLRU[ident.Fingerprint, *fingerprintRecord](maxRecords),
-		refused:   newLRU[ident.Fingerprint, *fingerprintRecord](maxRecords),
+		repeated:  newLRU[ident.Fingerprint, *fingerprintRecord](maxRecords),
 	}
 }
 
@@ -242,8 +240,9 @@
 	return true
 }
 
-// Tried reports whether a request was at several crashes and is no longer refused, so that a single run decides.
-func (s *Suspects) Tried(now clock.Time, fingerprint ident.Fingerprint) bool {
+// NeedsTrial reports whether a request was at several crashes and is no longer refused, so that one run at a time
+// shows whether it still crashes endpoints.
+func (s *Suspects) NeedsTrial(now clock.Time, fingerprint ident.Fingerprint) bool {
 	record := s.get(now, fingerprint)
 	if record == nil || s.verdictOf(now, record) != VerdictExclusive {
 		return false
@@ -325,7 +324,7 @@
 	record.crashes = record.crashes[:min(len(record.crashes), maxCrashes)]
 	if len(record.crashes) >= minRefusedCrashes {
 		s.suspected.remove(record.fingerprint)
-		s.refused.put(record.fingerprint, record)
+		s.repeated.put(record.fingerprint, record)
 	}
 	return true
 }
@@ -347,7 +346,7 @@
 // and, if there are more, some of the others in turn.
 func (s *Suspects) CrashReports(now clock.Time) []gossip.CrashReport {
 	var reports []gossip.CrashReport
-	for _, table := range []*lru[ident.Fingerprint, *fingerprintRecord]{s.refused, s.suspected} {
+	for _, table := range []*lru[ident.Fingerprint, *fingerprintRecord]{s.repeated, s.suspected} {
 		for record := range table.all() {
 			if s.expired(now, record) {
 				table.remove(record.fingerprint)
@@ -363,7 +362,7 @@
 // Refusals returns the requests that are refused because of the crashes that are known, the most recently
 // used first, at most 16.
 func (s *Suspects) Refusals(now clock.Time) (refusals []gossip.Refusal) {
-	for record := range s.refused.all() {
+	for record := range s.repeated.all() {
 		if end := s.refusalEnd(record); now.Before(end) && len(refusals) < maxRefusals {
 			refusals = append(refusals, gossip.Refusal{Fingerprint: record.fingerprint, Refused: true, Regions: record.regions, Remaining: end.Sub(now)})
 		}
@@ -424,14 +423,14 @@
 
 // get returns the unexpired record of fingerprint, or nil, and marks it as used.
 func (s *Suspects) get(now clock.Time, fingerprint ident.Fingerprint) *fingerprintRecord {
-	record, ok := s.refused.get(fingerprint)
+	record, ok := s.repeated.get(fingerprint)
 	if !ok {
 		if record, ok = s.suspected.get(fingerprint); !ok {
 			return nil
 		}
 	}
 	if s.expired(now, record) {
-		s.refused.remove(fingerprint)
+		s.repeated.remove(fingerprint)
 		s.suspected.remove(fingerprint)
 		return nil
 	}
--- a/crash/parts.go
+++ b/crash/parts.go
@@ -26,7 +26,7 @@
 	maxPartClearances = 16
 	// minForwarded is the remaining validity below which nothing is reported or merged any more:
 	// each receiver knows it for longer than the sender by the delay of the message.
-	minForwarded = maxDelay
+	minForwarded = 5 * clock.Second
 	// announceTime is how long a clearance is told to the others after evidence against the part arrived.
 	announceTime = 10 * clock.Second
 	// firstTrialDelay is the time from the last crash to the first trial of a refused part. It doubles
--- a/gate/parts.go
+++ b/gate/parts.go
@@ -27,7 +27,7 @@
 // crashID returns the identifier by which all instances know a crash of the endpoint as it is listed
 // now. The lock must be held.
 func (s *state) crashID(id ident.Endpoint) ident.Crash {
-	return crash.ID(id, s.listing.entries[id].Info.Incarnation)
+	return crash.ID(id, strconv.FormatInt(s.listing.entries[id].Info.Incarnation, 10))
 }
 
 // refusedPart returns the first of the prompt parts with which no request may run.
@@ -44,12 +44,17 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	started := s.parts.StartTrial(now, parts, func(part ident.Part) bool {
-		return slices.Contains(watch.Rendezvous(partName(part), live, 1), s.settings.Name)
+		return s.tries(partName(part), live)
 	})
 	s.logRefusedParts(now)
 	return started
 }
 
+// tries reports whether this instance is the one of the live instances that runs the trials of a suspect.
+func (s *state) tries(suspect string, live []ident.Entry) bool {
+	return slices.Contains(watch.Rendezvous(suspect, live, 1), s.settings.Name)
+}
+
 // logRefusedParts logs which prompt parts are refused from now on and which are no longer. The lock
 // must be held.
 func (s *state) logRefusedParts(now clock.Time) {
@@ -78,10 +83,10 @@
 	if f.trial && f.sends == 0 {
 		return ""
 	}
-	switch refused, tried := f.server.state.crashRefused(f.fingerprint); {
-	case refused || tried && !f.mayTry():
+	switch refused, needsTrial := f.server.state.crashRefused(f.fingerprint); {
+	case refused || needsTrial && !f.mayTry():
 		return "request crashed endpoints"
-	case tried:
+	case needsTrial:
 		f.trial = f.server.state.startSuspectTrial(f.fingerprint, f.server.liveInstances())
 		if !f.trial {
 			return "request crashed endpoints"
--- a/gate/suspect.go
+++ b/gate/suspect.go
@@ -10,7 +10,6 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/crash"
 	"github.com/tanagerbridge/tanagerbridge/ident"
-	"github.com/tanagerbridge/tanagerbridge/watch"
 )
 
 const (
@@ -54,16 +53,17 @@
 
 // crashRefused reports whether a request must not run because it has crashed too many endpoints, and whether its
 // refusal has ended, so that it may only run as a trial.
-func (s *state) crashRefused(fingerprint ident.Fingerprint) (refused, tried bool) {
+func (s *state) crashRefused(fingerprint ident.Fingerprint) (refused, needsTrial bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	return s.suspects.Verdict(now, fingerprint) == crash.VerdictRefused, s.suspects.Tried(now, fingerprint)
+	verdict := s.suspects.Verdict(now, fingerprint)
+	return verdict == crash.VerdictRefused, verdict == crash.VerdictExclusive && s.suspects.NeedsTrial(now, fingerprint)
 }
 
 // startSuspectTrial reports whether such a request may run now. One of the live instances tries it.
 func (s *state) startSuspectTrial(fingerprint ident.Fingerprint, live []ident.Entry) bool {
-	if !slices.Contains(watch.Rendezvous(strconv.FormatUint(uint64(fingerprint), 16), live, 1), s.settings.Name) {
+	if !s.tries(strconv.FormatUint(uint64(fingerprint), 16), live) {
 		return false
 	}
 	s.mu.Lock()
