refactor(gate,pool): fewer types and copies around resumed streams, in the field's words

Cause: found by reading the whole change. Change: one ServesBuild, Request.allows, owners as mesh.Record, resume.Begun, one flag; pool/check.go; gate/origin.go; the tests are named alike. Result: behaviour stays as it is, but for the text of one refusal (stream origin unknown). Lint clean; tests of the packages pass.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -32,8 +32,7 @@
 	if a.statesNotRun(response, parsed) {
 		return a.handleRefusal(response, parsed.Moved)
 	}
-	a.unframed = isUnframed(response)
-	inflight.unframed = a.unframed
+	inflight.unframed = isUnframed(response)
 	success := response.StatusCode/100 == 2
 	if success && !parsed.Signed {
 		return a.handleFailure(ctx, fault.Newf("answer", relay.KindMalformed, "success response without a signature"))
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -25,8 +25,6 @@
 	ended       bool
 	// firstOutput is when the first event of this send was forwarded, 0 before.
 	firstOutput clock.Time
-	// unframed is set if the response ends with the endpoint's connection, which may be due to a crash.
-	unframed bool
 }
 
 // errFirstByteTimeout cancels a send whose endpoint did not respond in time.
@@ -78,7 +76,7 @@
 // endpoint is checked, as it may have crashed.
 func (a *attempt) recordCompleted() {
 	state := a.inflight.server.state
-	if !a.unframed {
+	if !a.inflight.unframed {
 		state.recordCompleted(a.inflight)
 		return
 	}
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -113,7 +113,7 @@
 	Parts           []pool.PromptPart
 	// LastEventID is the id of the last stream event that the caller has received.
 	LastEventID string
-	// FirstAttempt is the attempt that brought the first event of the stream that the caller takes up, or empty.
+	// FirstAttempt is the attempt that brought the first event of the stream that the caller resumes, or empty.
 	FirstAttempt resume.Attempt
 }
 
--- a/gate/events.go
+++ b/gate/events.go
@@ -150,7 +150,7 @@
 	switch {
 	case len(rest) > 0:
 		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "stream ends inside an event"))
-	case a.unframed && a.firstOutput == 0:
+	case a.inflight.unframed && a.firstOutput == 0:
 		return a.handleFailure(ctx, fault.Newf("read", relay.KindBroken, "connection ends before the first event"))
 	}
 	a.sendHeader(response)
--- a/gate/hop.go
+++ b/gate/hop.go
@@ -85,7 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, g := range regions {
-		if !request.route.Allows(g.Region) || !s.pool.ServesBuild(request.placement, g.Region) {
+		if !request.route.Allows(g.Region) || !s.pool.ServesBuild(request.placement, func(r ident.Region) bool { return r == g.Region }) {
 			continue
 		}
 		hops := slices.DeleteFunc(slices.Clone(g.Hops), func(candidate string) bool {
--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -31,9 +31,9 @@
 	// maxDelayPercent is the expected delay, in percent of the target, above which a request is
 	// refused: late work delays the requests behind it.
 	maxDelayPercent = 120
-	// takeUpDelayDivisor limits the expected delay of a stream that a caller takes up to 1/takeUpDelayDivisor of
+	// resumeDelayDivisor limits the expected delay of a stream that a caller resumes to 1/resumeDelayDivisor of
 	// the time that is left: the rest of the stream takes time too.
-	takeUpDelayDivisor = 2
+	resumeDelayDivisor = 2
 	// deadlineMargin is the difference between the caller's deadline and the one given to the
 	// endpoint.
 	deadlineMargin = 10 * clock.Millisecond
@@ -94,7 +94,7 @@
 	lastEventID     string
 	// generated is set if an endpoint has generated a successful response, or the events of one.
 	generated bool
-	// unframed is set if the last response may have ended because its endpoint crashed.
+	// unframed is set if the last response ends with the endpoint's connection, which may be due to a crash.
 	unframed bool
 	// buffered is an endpoint's error response, which is delivered if no further send succeeds.
 	buffered *bufferedResponse
@@ -197,7 +197,7 @@
 func (f *inflight) mayWait() bool {
 	waited := f.server.clock.Now().Sub(f.arrived)
 	limit := f.route.TargetLatency / targetWaitDivisor
-	if f.isTakeUp() {
+	if f.isResumption() {
 		limit = f.route.TargetLatency
 	}
 	return f.sends < maxSends && waited < limit && f.remaining() > 4*chooseInterval
@@ -234,12 +234,12 @@
 	return best, true
 }
 
-// maxDelay returns the expected delay above which the request is refused. A caller that goes on with a stream has
-// a part of the answer already, which is lost if nobody goes on: only its own time counts.
+// maxDelay returns the expected delay above which the request is refused. A caller that resumes a stream has a
+// part of the answer already, which is lost without the rest: only its own time counts.
 func (f *inflight) maxDelay() clock.Span {
 	limit := f.route.TargetLatency * maxDelayPercent / 100
-	if f.isTakeUp() {
-		return max(limit, f.remaining()/takeUpDelayDivisor)
+	if f.isResumption() {
+		return max(limit, f.remaining()/resumeDelayDivisor)
 	}
 	return limit
 }
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -24,7 +24,7 @@
 	active        gometrics.Counter
 	// partRefusals counts the requests that are refused because of a prompt part.
 	partRefusals gometrics.Counter
-	// unknownStreams counts the refused requests that go on with a stream of which nobody knows what began it.
+	// unknownStreams counts the requests that are refused because nobody knows the origin of the stream they resume.
 	unknownStreams gometrics.Counter
 	// panics counts the panics that were contained.
 	panics gometrics.Counter
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -12,6 +12,7 @@
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/codec"
 	"github.com/tanagerbridge/tanagerbridge/ident"
+	"github.com/tanagerbridge/tanagerbridge/mesh"
 	"github.com/tanagerbridge/tanagerbridge/pool"
 	"github.com/tanagerbridge/tanagerbridge/relay"
 	"github.com/tanagerbridge/tanagerbridge/resume"
@@ -19,7 +20,7 @@
 )
 
 const (
-	// streamPath is the path at which other instances ask what began a stream: streamPath + service / attempt.
+	// streamPath is the path at which other instances ask for the origin of a stream: streamPath + service / attempt.
 	streamPath = "/tanager/stream/"
 	// shareInterval is the interval at which the streams that began are shared, and maxSharedStreams bounds
 	// those in one datagram.
@@ -28,7 +29,7 @@
 	// originTimeout bounds the questions to other instances about one stream, and maxOriginBytes an answer.
 	originTimeout  = 400 * clock.Millisecond
 	maxOriginBytes = 1 << 10
-	// unknownRetryAfter is when a caller is asked to come again if nobody knows what began its stream.
+	// unknownRetryAfter is when a caller is asked to come again if nobody knows the origin of its stream.
 	unknownRetryAfter = 500 * clock.Millisecond
 	// headerBuild names the version of the software: in a request that is passed on, the one at which the stream
 	// must go on; in a response to it, the one that runs it. headerService names the service.
@@ -36,7 +37,8 @@
 	headerService = "Tanager-Service"
 )
 
-// streamOrigin is an instance's answer about a stream.
+// streamOrigin is the service and the version of the software that wrote the first event of a stream, as an instance
+// knows it.
 type streamOrigin struct {
 	// Known is set if the stream can only have begun at the service and the version.
 	Known bool
@@ -46,8 +48,8 @@
 	Build    ident.Build
 }
 
-// originOf returns what began a stream, as far as this instance knows: the stream itself, or that only one version
-// can have begun any stream of the service.
+// originOf returns the origin of a stream as far as this instance knows: by its record, or because only one version can
+// have begun any stream of the service.
 func (s *state) originOf(service ident.Service, attempt resume.Attempt) streamOrigin {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -59,7 +61,7 @@
 	return streamOrigin{Known: known, Service: service, Build: build}
 }
 
-// beginStream records what began a stream.
+// beginStream records the origin of a stream.
 func (s *state) beginStream(stream resume.Stream, homes []ident.Region) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,7 +70,7 @@
 
 // takeUnshared returns the streams that other instances must know: those of services of which several versions
 // may be in use.
-func (s *state) takeUnshared() []resume.Unshared {
+func (s *state) takeUnshared() []resume.Begun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
@@ -82,70 +84,60 @@
 	})
 }
 
-// regionInstances are the instances of one region that may keep what began streams.
+// regionInstances are the instances of one region that may keep the origins of streams.
 type regionInstances struct {
-	region    ident.Region
-	names     []ident.Entry
-	addresses map[ident.Entry]string
+	names   []ident.Entry
+	records map[ident.Entry]mesh.Record
 }
 
-// instancesByRegion returns the instances that are ready, including this one, whose region comes first.
-func (s *Server) instancesByRegion() []regionInstances {
-	regions := []regionInstances{{s.settings.Region, []ident.Entry{s.settings.Name}, make(map[ident.Entry]string)}}
-	for _, peer := range s.node.Alive() {
-		index := slices.IndexFunc(regions, func(r regionInstances) bool { return r.region == peer.Region })
-		if index < 0 {
-			index = len(regions)
-			regions = append(regions, regionInstances{region: peer.Region, addresses: make(map[ident.Entry]string)})
+// instancesByRegion returns the instances that are ready, including this one.
+func (s *Server) instancesByRegion() map[ident.Region]*regionInstances {
+	regions := make(map[ident.Region]*regionInstances)
+	for _, record := range append(s.node.Alive(), mesh.Record{Name: s.settings.Name, Region: s.settings.Region}) {
+		instances := regions[record.Region]
+		if instances == nil {
+			instances = &regionInstances{records: make(map[ident.Entry]mesh.Record)}
+			regions[record.Region] = instances
 		}
-		regions[index].names = append(regions[index].names, peer.Name)
-		regions[index].addresses[peer.Name] = peer.Hop
+		instances.names = append(instances.names, record.Name)
+		instances.records[record.Name] = record
 	}
 	return regions
 }
 
-// owner is an instance that keeps what began a stream.
-type owner struct {
-	name    ident.Entry
-	region  ident.Region
-	address string
-}
-
-// ownersOf returns the instances that keep what began a stream, one in each region that may learn of it, in the order
-// of the regions; this instance may be among them.
-func ownersOf(regions []regionInstances, attempt resume.Attempt, homes []ident.Region) (owners []owner) {
-	for _, r := range regions {
-		if len(homes) > 0 && !slices.Contains(homes, r.region) {
-			continue
+// ownersOf returns the instances that keep the origin of a stream, one in each region that may learn of it; this
+// instance may be among them.
+func ownersOf(regions map[ident.Region]*regionInstances, attempt resume.Attempt, homes []ident.Region) (owners []mesh.Record) {
+	for region, instances := range regions {
+		if len(homes) == 0 || slices.Contains(homes, region) {
+			owners = append(owners, instances.records[watch.Rendezvous(string(attempt), instances.names, 1)[0]])
 		}
-		name := watch.Rendezvous(string(attempt), r.names, 1)[0]
-		owners = append(owners, owner{name, r.region, r.addresses[name]})
 	}
 	return owners
 }
 
-// shareStreams tells the owners of the streams that began here what began them.
+// shareStreams tells the owners of the streams that began here their origins.
 func (s *Server) shareStreams(context.Context) {
 	unshared := s.state.takeUnshared()
 	if len(unshared) == 0 {
 		return
 	}
-	regions, byOwner := s.instancesByRegion(), make(map[ident.Entry][]resume.Stream)
+	regions, byOwner := s.instancesByRegion(), make(map[mesh.Record][]resume.Stream)
 	for _, u := range unshared {
-		for _, o := range ownersOf(regions, u.Attempt, u.Homes) {
-			if o.name != s.settings.Name {
-				byOwner[o.name] = append(byOwner[o.name], u.Stream)
+		for _, owner := range ownersOf(regions, u.Attempt, u.Homes) {
+			if owner.Name != s.settings.Name {
+				byOwner[owner] = append(byOwner[owner], u.Stream)
 			}
 		}
 	}
-	for name, streams := range byOwner {
+	for owner, streams := range byOwner {
 		for chunk := range slices.Chunk(streams, maxSharedStreams) {
-			s.node.ShareStreams(name, chunk)
+			s.node.ShareStreams(owner, chunk)
 		}
 	}
 }
 
-// serveStreamOrigin answers another instance that asks what began a stream.
+// serveStreamOrigin answers another instance that asks for the origin of a stream.
 func (s *Server) serveStreamOrigin(w http.ResponseWriter, r *http.Request) {
 	service, attempt, _ := strings.Cut(strings.TrimPrefix(r.RequestURI, streamPath), "/")
 	service, serviceErr := url.PathUnescape(service)
@@ -163,21 +155,21 @@
 	_, _ = w.Write(data) // an error only means that the instance has disconnected
 }
 
-// askOrigin asks another instance what began a stream.
-func (s *Server) askOrigin(ctx context.Context, asked owner, service ident.Service, attempt resume.Attempt) (origin streamOrigin) {
+// askOrigin asks another instance for the origin of a stream.
+func (s *Server) askOrigin(ctx context.Context, owner mesh.Record, service ident.Service, attempt resume.Attempt) (origin streamOrigin) {
 	uri := streamPath + url.PathEscape(string(service)) + "/" + url.PathEscape(string(attempt))
-	data, err := s.queryInstance(ctx, asked.address, uri, maxOriginBytes)
+	data, err := s.queryInstance(ctx, owner.Hop, uri, maxOriginBytes)
 	if err == nil {
 		err = codec.Decode(data, &origin)
 	}
 	if err != nil {
-		s.log.Info("asking another instance for a stream failed", zap.String("of", string(asked.name)), zap.Error(err))
+		s.log.Info("asking another instance for a stream failed", zap.String("of", string(owner.Name)), zap.Error(err))
 		return streamOrigin{}
 	}
 	return origin
 }
 
-// findOrigin returns what began a stream. A record of this instance or of the owner in this region comes before what
+// findOrigin returns the origin of a stream. A record of this instance or of the owner in this region comes before what
 // either concludes from the list, and that before the answers of the other owners.
 func (s *Server) findOrigin(ctx context.Context, service ident.Service, attempt resume.Attempt, homes []ident.Region) streamOrigin {
 	best := s.state.originOf(service, attempt)
@@ -186,27 +178,27 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
 	defer cancel()
-	var others []owner
-	for _, o := range ownersOf(s.instancesByRegion(), attempt, homes) {
+	var others []mesh.Record
+	for _, owner := range ownersOf(s.instancesByRegion(), attempt, homes) {
 		switch {
-		case o.name == s.settings.Name:
-		case o.region == s.settings.Region:
-			if origin := s.askOrigin(ctx, o, service, attempt); origin.Recorded || !best.Known {
+		case owner.Name == s.settings.Name:
+		case owner.Region == s.settings.Region:
+			if origin := s.askOrigin(ctx, owner, service, attempt); origin.Recorded || !best.Known {
 				best = origin
 			}
 		default:
-			others = append(others, o)
+			others = append(others, owner)
 		}
 	}
 	if best.Known {
 		return best
 	}
 	answers := make(chan streamOrigin, len(others))
-	for _, o := range others {
+	for _, owner := range others {
 		go func() {
 			var origin streamOrigin
 			defer func() { answers <- origin }()
-			s.contain("stream origin", func() { origin = s.askOrigin(ctx, o, service, attempt) })
+			s.contain("stream origin", func() { origin = s.askOrigin(ctx, owner, service, attempt) })
 		}()
 	}
 	for range others {
@@ -217,19 +209,19 @@
 	return streamOrigin{}
 }
 
-// isTakeUp reports whether the caller goes on with a stream of which it has some events.
-func (f *inflight) isTakeUp() bool { return f.route.Stream && f.meta.LastEventID != "" }
+// isResumption reports whether the caller resumes a stream of which it has some events.
+func (f *inflight) isResumption() bool { return f.route.Stream && f.meta.LastEventID != "" }
 
-// resolveOrigin binds a stream that the caller takes up to the service and the version that began it. If nobody
+// resolveOrigin binds a stream that the caller resumes to the service and the version that began it. If nobody
 // can tell them, it refuses the request and returns false: its events could be of another version.
 func (f *inflight) resolveOrigin(ctx context.Context) bool {
-	if !f.isTakeUp() || f.placement.Build != "" {
+	if !f.isResumption() || f.placement.Build != "" {
 		return true
 	}
 	origin := f.server.findOrigin(ctx, f.placement.Service, f.meta.FirstAttempt, f.route.HomeRegions)
 	if !origin.Known || !f.route.MayUse(origin.Service) {
 		f.server.metrics.unknownStreams.Inc(1)
-		f.refuse("unknown what began the stream", unknownRetryAfter)
+		f.refuse("stream origin unknown", unknownRetryAfter)
 		return false
 	}
 	f.setService(origin.Service)
@@ -263,7 +255,7 @@
 		return // the instance that passed the request on records it
 	}
 	stream := resume.Stream{Attempt: resume.Attempt(f.meta.AttemptID), Service: f.placement.Service, Build: f.placement.Build}
-	if f.isTakeUp() {
+	if f.isResumption() {
 		stream.Attempt = f.meta.FirstAttempt
 	}
 	f.server.state.beginStream(stream, f.route.HomeRegions)
@@ -272,6 +264,6 @@
 // lacksBuild reports whether no endpoint that could serve the request is of the version at which its stream must
 // go on.
 func (f *inflight) lacksBuild() (lacks bool) {
-	f.server.state.withPool(func(p *pool.Pool, _ clock.Time) { lacks = !p.ServesBuildAnywhere(f.placement) })
+	f.server.state.withPool(func(p *pool.Pool, _ clock.Time) { lacks = !p.ServesBuild(f.placement, f.route.Allows) })
 	return lacks
 }
--- a/gate/state.go
+++ b/gate/state.go
@@ -52,7 +52,7 @@
 
 	mu   sync.Mutex
 	pool *pool.Pool
-	// streams holds what began the streams of the last time.
+	// streams holds the origins of recent streams.
 	streams    *resume.Table
 	retries    map[ident.Service]*budget.Window
 	relays     map[string]*relay.Pool
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -115,7 +115,7 @@
 	// are sent in datagrams of their own: a build accepts only arrays with its own number of fields.
 	CrashReports []gossip.CrashReport `msgpack:"-"`
 	Parts        gossip.PartFacts     `msgpack:"-"`
-	// Streams tells what began streams that started at the sender.
+	// Streams tells the origins of streams that began at the sender.
 	Streams []resume.Stream `msgpack:"-"`
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -152,17 +152,15 @@
 	}
 }
 
-// ShareStreams tells another instance what began streams. Errors are not reported, as a datagram may be lost too.
-func (n *Node) ShareStreams(to ident.Entry, streams []resume.Stream) {
-	plain := withTable(n, func(t *Table, _ clock.Time) OutgoingMessage {
-		return OutgoingMessage{t.addressOf(to), Message{From: t.Self(), Receiver: to}}
-	})
-	data, err := codec.EncodeNamed(reportMessage{From: plain.Message.From, Receiver: to, Streams: streams})
+// ShareStreams tells another instance the origins of streams. A datagram may be lost.
+func (n *Node) ShareStreams(to Record, streams []resume.Stream) {
+	self := withTable(n, func(t *Table, _ clock.Time) Record { return t.Self() })
+	data, err := codec.EncodeNamed(reportMessage{From: self, Receiver: to.Name, Streams: streams})
 	if err != nil {
 		n.config.Log.Warn("streams not shared", zap.Error(err))
 		return
 	}
-	n.sendData(plain.Address, [][]byte{data})
+	n.sendData(to.Mesh, [][]byte{data})
 }
 
 // SetState publishes the new state of this instance immediately.
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -99,14 +99,6 @@
 // SetState changes the published state of this instance. It never returns to an earlier state.
 func (t *Table) SetState(state State) { t.self.State = max(t.self.State, state) }
 
-// addressOf returns the address for datagrams of an instance, or "" if it is not known.
-func (t *Table) addressOf(name ident.Entry) string {
-	if known := t.peers[name]; known != nil {
-		return known.Mesh
-	}
-	return ""
-}
-
 // Self returns the record of this instance.
 func (t *Table) Self() Record { return t.self }
 
--- a/pool/build.go
+++ b/pool/build.go
@@ -26,12 +26,12 @@
 	use.lastListed = now
 }
 
-// doubtBuilds records that versions may have served up to now of which this instance does not know.
-func (p *Pool) doubtBuilds(now clock.Time) {
+// resetBuildHistory records that versions may have served up to now of which this instance does not know.
+func (p *Pool) resetBuildHistory(now clock.Time) {
 	p.buildsKnownFrom = max(p.buildsKnownFrom, now.Add(resume.Life))
 }
 
-// OnlyBuild returns the version that has begun every stream of a service that may still be taken up, or false if
+// OnlyBuild returns the version that has begun every stream of a service that may still be resumed, or false if
 // that can't be told: several versions are or were listed, or this instance has not followed the list without
 // a gap for long enough.
 func (p *Pool) OnlyBuild(now clock.Time, name ident.Service) (only ident.Build, known bool) {
@@ -52,18 +52,10 @@
 	return only, known
 }
 
-// ServesBuild reports whether an endpoint of a region that does not leave is of the version that a request
-// needs.
-func (p *Pool) ServesBuild(request Request, region ident.Region) bool {
+// ServesBuild reports whether an endpoint that does not leave is of the version that a request needs, in one of the
+// regions that in accepts.
+func (p *Pool) ServesBuild(request Request, in func(ident.Region) bool) bool {
 	return request.Build == "" || slices.ContainsFunc(p.service(request.Service).all, func(e *endpoint) bool {
-		return e.Region == region && request.takes(e) && !e.leaving()
-	})
-}
-
-// ServesBuildAnywhere is the same for all regions that may serve the request.
-func (p *Pool) ServesBuildAnywhere(request Request) bool {
-	return request.Build == "" || slices.ContainsFunc(p.service(request.Service).all, func(e *endpoint) bool {
-		home := len(request.HomeRegions) == 0 || slices.Contains(request.HomeRegions, e.Region)
-		return home && request.takes(e) && !e.leaving()
+		return request.takes(e) && !e.leaving() && in(e.Region)
 	})
 }
--- a/pool/build_test.go
+++ b/pool/build_test.go
@@ -24,7 +24,7 @@
 }
 
 // Guards against a version that counts as the only one although another may have begun a stream that can still be
-// taken up.
+// resumed.
 func TestOnlyBuild(t *testing.T) {
 	const start = clock.Time(1000)
 	life := clock.Time(resume.Life)
@@ -83,6 +83,9 @@
 // Guards against a stream that goes on at another version, or that finds none although its version serves.
 func TestChooseKeepsBuild(t *testing.T) {
 	p := pool.New(pool.Config{Self: "i1", Region: "a", FirstStart: true})
+	only := func(region ident.Region) func(ident.Region) bool {
+		return func(r ident.Region) bool { return r == region }
+	}
 	leaving := listed("r4", "v3", "a")
 	leaving.Leaving = true
 	p.Update(1000, 1000, []pool.Info{listed("r1", "v1", "a"), listed("r2", "v2", "a"), listed("r3", "v2", "b"), leaving}, nil)
@@ -103,10 +106,10 @@
 		near, anywhere bool
 	}{{"", true, true}, {"v1", true, true}, {"v2", true, true}, {"v3", false, false}, {"v4", false, false}} {
 		request := pool.Request{Service: "s", Build: c.build}
-		require.Equal(t, c.near, p.ServesBuild(request, "a"), c.build)
-		require.Equal(t, c.anywhere, p.ServesBuildAnywhere(request), c.build)
+		require.Equal(t, c.near, p.ServesBuild(request, only("a")), c.build)
+		require.Equal(t, c.anywhere, p.ServesBuild(request, func(ident.Region) bool { return true }), c.build)
 	}
-	require.False(t, p.ServesBuildAnywhere(pool.Request{Service: "s", Build: "v1", HomeRegions: []ident.Region{"b"}}))
+	require.False(t, p.ServesBuild(pool.Request{Service: "s", Build: "v1", HomeRegions: []ident.Region{"b"}}, only("b")))
 	request := pool.Request{Service: "s", Build: "v1"}
 	choice, _ := p.Choose(1000, p.Plan(1000, request))
 	send := p.BeginSend(1000, request, choice)
--- /dev/null
+++ b/pool/check.go
@@ -0,0 +1,70 @@
+package pool
+
+import (
+	"github.com/tanagerbridge/tanagerbridge/clock"
+	"github.com/tanagerbridge/tanagerbridge/ident"
+)
+
+// Check is the result of a health check.
+type Check struct {
+	Healthy bool
+	// SameEndpoint reports whether the endpoint that answered is the one that was addressed.
+	SameEndpoint  bool
+	ColdRemaining clock.Span
+}
+
+// RecordCheck records the result of a health check. An endpoint that needed a check gets requests
+// again if it is healthy and still the same one.
+func (p *Pool) RecordCheck(now clock.Time, id ident.Endpoint, check Check) {
+	known := p.endpoints[id]
+	if known == nil {
+		return
+	}
+	if check.ColdRemaining > 0 {
+		known.coldUntil = now.Add(check.ColdRemaining)
+	}
+	if known.wantsCheck {
+		known.wantsCheck, known.needsCheck = false, known.needsCheck || !check.SameEndpoint
+	}
+	switch zone := p.zone(known.Zone); {
+	case check.Healthy && check.SameEndpoint:
+		known.needsCheck = false
+		zone.clear()
+	case zone.suspected(now):
+		zone.suspect(now)
+	}
+}
+
+// DueChecks returns the endpoints of this region that need a health check now, and marks them as
+// checked.
+func (p *Pool) DueChecks(now clock.Time) (due []Info) {
+	for _, s := range p.services {
+		for _, e := range s.regional {
+			if p.checkDue(now, e) && now.Sub(e.lastChecked) >= healthCheckInterval {
+				e.lastChecked = now
+				due = append(due, e.Info)
+			}
+		}
+	}
+	return append(due, p.dueZoneChecks(now)...)
+}
+
+// checkDue reports whether an endpoint should get a health check and has not asked to be left alone.
+func (p *Pool) checkDue(now clock.Time, e *endpoint) bool {
+	switch {
+	case e.leaving() || e.paused(now):
+		return false
+	case e.limited():
+		wanted := e.needsCheck || e.selfReport().limit < minRequestLimit
+		return wanted && p.refreshPermits(now, e) && e.permits.wait(now) == 0
+	}
+	return e.needsCheck || e.wantsCheck
+}
+
+// RequestCheck asks for a health check of an endpoint, which gets requests meanwhile. An endpoint with a rate limit
+// is not checked for that, since a check takes one of the permits for requests.
+func (p *Pool) RequestCheck(id ident.Endpoint) {
+	if known := p.endpoints[id]; known != nil {
+		known.wantsCheck = true
+	}
+}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -1,8 +1,6 @@
 package pool
 
 import (
-	"slices"
-
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 	"github.com/tanagerbridge/tanagerbridge/watch"
@@ -198,7 +196,7 @@
 func rankByAffinity(endpoints []*endpoint, key uint64, request Request, leaveOut func(*endpoint) bool) (best [2]*endpoint) {
 	var highestHash [2]uint64
 	for _, e := range endpoints {
-		if leaveOut(e) || e.leaving() || e.delisted || !request.takes(e) || len(request.HomeRegions) > 0 && !slices.Contains(request.HomeRegions, e.Region) {
+		if leaveOut(e) || e.leaving() || e.delisted || !request.takes(e) || !request.allows(e.Region) {
 			continue
 		}
 		hash := mixHash(key ^ e.idHash)
--- a/pool/doc.go
+++ b/pool/doc.go
@@ -4,6 +4,8 @@
 package pool
 
 import (
+	"slices"
+
 	"github.com/tanagerbridge/tanagerbridge/clock"
 	"github.com/tanagerbridge/tanagerbridge/ident"
 )
@@ -75,6 +77,11 @@
 	Build ident.Build
 }
 
+// allows reports whether the request may be served in the region.
+func (r *Request) allows(region ident.Region) bool {
+	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
+}
+
 // takes reports whether the endpoint is of a version that may run the request.
 func (r *Request) takes(e *endpoint) bool { return r.Build == "" || r.Build == e.Build }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -43,7 +43,7 @@
 	evacuated map[ident.Zone]bool
 	// lastListed is when the list was last read.
 	lastListed clock.Time
-	// buildsKnownFrom is when this instance will have followed the list for as long as a stream may be taken up.
+	// buildsKnownFrom is when this instance will have followed the list for as long as a stream may be resumed.
 	buildsKnownFrom clock.Time
 	// graceUntil is the time until which endpoints that are missing from the list after an outage
 	// are kept.
@@ -75,7 +75,7 @@
 	// all holds the endpoints of all regions, regional those of this region.
 	all []*endpoint
 	// builds counts the listed endpoints by the version of their software. Versions that were listed are kept as
-	// long as a stream of theirs may be taken up.
+	// long as a stream of theirs may be resumed.
 	builds map[ident.Build]*buildUse
 	// meanServiceMs is the mean time that an endpoint takes for a request.
 	meanServiceMs float64
@@ -152,11 +152,11 @@
 // recordListed records when the list was current and whether that ends an outage of the list.
 func (p *Pool) recordListed(read clock.Time) {
 	if p.lastListed == 0 && !p.config.FirstStart {
-		p.doubtBuilds(read)
+		p.resetBuildHistory(read)
 	}
 	if p.lastListed > 0 && read.Sub(p.lastListed) > minListOutage {
 		p.graceUntil = read.Add(delistGrace)
-		p.doubtBuilds(read)
+		p.resetBuildHistory(read)
 	}
 	p.lastListed = max(p.lastListed, read)
 }
@@ -165,7 +165,7 @@
 // for delistGrace, and older entries than those known change nothing.
 func (p *Pool) RecordRestore(now clock.Time) {
 	p.graceUntil, p.copiedUntil = max(p.graceUntil, now.Add(delistGrace)), now.Add(copyTerm)
-	p.doubtBuilds(now)
+	p.resetBuildHistory(now)
 }
 
 // outdated reports whether an entry of the list is older than what is known of the endpoint.
@@ -373,70 +373,6 @@
 	}
 }
 
-// Check is the result of a health check.
-type Check struct {
-	Healthy bool
-	// SameEndpoint reports whether the endpoint that answered is the one that was addressed.
-	SameEndpoint  bool
-	ColdRemaining clock.Span
-}
-
-// RecordCheck records the result of a health check. An endpoint that needed a check gets requests
-// again if it is healthy and still the same one.
-func (p *Pool) RecordCheck(now clock.Time, id ident.Endpoint, check Check) {
-	known := p.endpoints[id]
-	if known == nil {
-		return
-	}
-	if check.ColdRemaining > 0 {
-		known.coldUntil = now.Add(check.ColdRemaining)
-	}
-	if known.wantsCheck {
-		known.wantsCheck, known.needsCheck = false, known.needsCheck || !check.SameEndpoint
-	}
-	switch zone := p.zone(known.Zone); {
-	case check.Healthy && check.SameEndpoint:
-		known.needsCheck = false
-		zone.clear()
-	case zone.suspected(now):
-		zone.suspect(now)
-	}
-}
-
-// DueChecks returns the endpoints of this region that need a health check now, and marks them as
-// checked.
-func (p *Pool) DueChecks(now clock.Time) (due []Info) {
-	for _, s := range p.services {
-		for _, e := range s.regional {
-			if p.checkDue(now, e) && now.Sub(e.lastChecked) >= healthCheckInterval {
-				e.lastChecked = now
-				due = append(due, e.Info)
-			}
-		}
-	}
-	return append(due, p.dueZoneChecks(now)...)
-}
-
-// checkDue reports whether an endpoint should get a health check and has not asked to be left alone.
-func (p *Pool) checkDue(now clock.Time, e *endpoint) bool {
-	switch {
-	case e.leaving() || e.paused(now):
-		return false
-	case e.limited():
-		wanted := e.needsCheck || e.selfReport().limit < minRequestLimit
-		return wanted && p.refreshPermits(now, e) && e.permits.wait(now) == 0
-	}
-	return e.needsCheck || e.wantsCheck
-}
-
-// RequestCheck lets an endpoint be checked, which may go on to get requests meanwhile. One with a rate limit
-// is not, as its permits are for requests.
-func (p *Pool) RequestCheck(id ident.Endpoint) {
-	if known := p.endpoints[id]; known != nil {
-		known.wantsCheck = true
-	}
-}
-
 // Leaving reports whether an endpoint leaves, according to the list or to itself.
 func (p *Pool) Leaving(id ident.Endpoint) bool {
 	known := p.endpoints[id]
--- a/resume/resume.go
+++ b/resume/resume.go
@@ -1,5 +1,6 @@
-// Package resume remembers which version of the endpoints' software began a stream, so that a caller that
-// lost its connection can take it up at another instance without joining two versions.
+// Package resume remembers the origin of streams, the service and the version of the endpoints' software that wrote
+// the first event, so that a caller that lost its connection can resume a stream at any instance without joining
+// two versions.
 package resume
 
 import (
@@ -8,18 +9,18 @@
 )
 
 const (
-	// Life is the longest time from the first event of a stream to its last take-up.
+	// Life is the longest time from the first event of a stream to its last resumption.
 	Life = 30 * clock.Second
 	// maxStreams bounds the streams of one generation, which take about 2 MB, and those that are not shared yet.
 	maxStreams = 16384
-	// maxAttemptBytes bounds the id of an attempt. Streams of attempts with longer ids can't be taken up.
+	// maxAttemptBytes bounds the id of an attempt. Streams of attempts with longer ids can't be resumed.
 	maxAttemptBytes = 128
 )
 
 // Attempt is the id of a caller's attempt.
 type Attempt string
 
-// Stream tells what began a stream.
+// Stream tells the origin of a stream.
 type Stream struct {
 	// Attempt brought the first event.
 	Attempt Attempt       `msgpack:"attempt"`
@@ -27,12 +28,12 @@
 	Build   ident.Build   `msgpack:"build"`
 }
 
-// begun is a stream that began at this instance.
-type begun struct {
+// Begun is a stream that began at this instance.
+type Begun struct {
 	Stream
-	at clock.Time
-	// homes lists the regions that may learn of the stream; empty means all.
-	homes []ident.Region
+	// Homes lists the regions that may learn of the stream; empty means all.
+	Homes []ident.Region
+	at    clock.Time
 }
 
 // Table holds the streams that began within Life, here or elsewhere. It is not safe for concurrent use.
@@ -41,7 +42,7 @@
 	current, previous map[Attempt]Stream
 	rotated           clock.Time
 	// unshared lists the streams that began here and that no other instance knows, the oldest first.
-	unshared []begun
+	unshared []Begun
 }
 
 // NewTable returns an empty Table.
@@ -59,7 +60,7 @@
 	if len(t.unshared) >= maxStreams {
 		t.unshared = t.unshared[1:]
 	}
-	t.unshared = append(t.unshared, begun{stream, now, homes})
+	t.unshared = append(t.unshared, Begun{stream, homes, now})
 }
 
 // Put records a stream that another instance shares, and reports whether it is acceptable.
@@ -94,21 +95,15 @@
 	}
 }
 
-// Unshared is a stream to be shared with instances of some regions; none means all.
-type Unshared struct {
-	Stream
-	Homes []ident.Region
-}
-
 // TakeUnshared returns the streams that began here and have not been returned yet, of the services that must be
-// shared. The others are kept as long as they may be taken up.
-func (t *Table) TakeUnshared(now clock.Time, mustShare func(ident.Service) bool) (taken []Unshared) {
+// shared. The others are kept as long as they may be resumed.
+func (t *Table) TakeUnshared(now clock.Time, mustShare func(ident.Service) bool) (taken []Begun) {
 	kept := t.unshared[:0]
 	for _, b := range t.unshared {
 		switch {
 		case now.Sub(b.at) > Life:
 		case mustShare(b.Service):
-			taken = append(taken, Unshared{b.Stream, b.homes})
+			taken = append(taken, b)
 		default:
 			kept = append(kept, b)
 		}
--- a/resume/resume_test.go
+++ b/resume/resume_test.go
@@ -23,7 +23,7 @@
 	// 1
 }
 
-// Guards against a stream that is forgotten while it may be taken up, or kept for good.
+// Guards against a stream that is forgotten while it may be resumed, or kept for good.
 func TestStreamsAreKeptForTheirLife(t *testing.T) {
 	table := resume.NewTable()
 	begun := clock.Time(70_000)
@@ -56,7 +56,7 @@
 	require.Empty(t, table.TakeUnshared(1000, func(ident.Service) bool { return true }))
 }
 
-// Guards against streams that are not shared when a second version appears although they may still be taken up.
+// Guards against streams that are not shared when a second version appears although they may still be resumed.
 func TestUnsharedStreamsWait(t *testing.T) {
 	table := resume.NewTable()
 	table.Begin(1000, resume.Stream{Attempt: "old", Service: "s", Build: "v1"}, nil)
@@ -65,5 +65,7 @@
 	table.Begin(20_002, resume.Stream{Attempt: "b1", Service: "other", Build: "v1"}, nil)
 	require.Empty(t, table.TakeUnshared(20_100, func(ident.Service) bool { return false }))
 	got := table.TakeUnshared(1001+clock.Time(resume.Life), func(s ident.Service) bool { return s == "s" })
-	require.Equal(t, []resume.Unshared{{Stream: resume.Stream{Attempt: "a1", Service: "s", Build: "v1"}, Homes: []ident.Region{"r"}}}, got)
+	require.Len(t, got, 1)
+	require.Equal(t, resume.Stream{Attempt: "a1", Service: "s", Build: "v1"}, got[0].Stream)
+	require.Equal(t, []ident.Region{"r"}, got[0].Homes)
 }
