fix(gate): a resumed stream waits for its turn at endpoints with a rate limit or a pause

What callers saw: nothing yet; found by reading the whole change. Change: maxWait, used in both places.

--- a/gate/inflight.go
+++ b/gate/inflight.go
@@ -196,11 +196,16 @@
 
 func (f *inflight) mayWait() bool {
 	waited := f.server.clock.Now().Sub(f.arrived)
-	limit := f.route.TargetLatency / targetWaitDivisor
+	return f.sends < maxSends && waited < f.maxWait() && f.remaining() > 4*chooseInterval
+}
+
+// maxWait returns how long the request waits for an endpoint. One that resumes a stream waits longer, for the reason
+// given at maxDelay.
+func (f *inflight) maxWait() clock.Span {
 	if f.isResumption() {
-		limit = f.route.TargetLatency
+		return f.route.TargetLatency
 	}
-	return f.sends < maxSends && waited < limit && f.remaining() > 4*chooseInterval
+	return f.route.TargetLatency / targetWaitDivisor
 }
 
 // chooseDestination returns the destination with the lowest expected cost. If it returns false,
@@ -256,7 +261,7 @@
 		return destination{reason: string(block), wait: leavingRetryAfter, blocked: true}
 	case pool.BlockPaused, pool.BlockLimited:
 		return destination{
-			reason: string(block), wait: after, blocked: after > f.route.TargetLatency/targetWaitDivisor, limited: block == pool.BlockLimited,
+			reason: string(block), wait: after, blocked: after > f.maxWait(), limited: block == pool.BlockLimited,
 		}
 	}
 	if f.lacksBuild() {
