--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,6 +18,7 @@
 // cases maps the name of each case to the function that plays it. It returns what broke the rule, or "".
 var cases = map[string]func(w *world, trouble bool) (broken string, err error){
 	"alias":   playAlias,
+	"flood":   playFlood,
 	"seeds":   playSeeds,
 	"service": playService,
 	"star":    playStar,
--- a/review/rig/seeds.go
+++ b/review/rig/seeds.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -97,16 +96,7 @@
 
 // measure lets the callers of all regions ask for a path for some time.
 func (w *world) measure(length time.Duration, path string) *tally {
-	t, stop := newTally(), make(chan struct{})
-	var group sync.WaitGroup
-	for zone, region := range zones {
-		c := &callers{world: w, region: region, zone: zone}
-		c.learn(c.resolve())
-		group.Go(func() { c.follow(stop) })
-		group.Go(func() { c.ask(path, regionRates[region], t, stop) })
-	}
-	time.Sleep(length)
-	close(stop)
-	group.Wait()
-	return t
+	stop := make(chan struct{})
+	time.AfterFunc(length, func() { close(stop) })
+	return w.askAll(path, stop)
 }
