--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -43,7 +43,7 @@
 		return exitNotPlayed
 	}
 	defer w.close()
-	w.closeOnSignal()
+	w.closeEarly()
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.note("case %s, disruption %t", *name, trouble)
 	broken, err := play(w, trouble)
--- a/review/rig/stop.go
+++ b/review/rig/stop.go
@@ -136,11 +136,18 @@
 		case <-stop:
 			return
 		case <-time.After(time.Second / quickRate):
-			go exchange(c.address(), request("POST", path, newAttempt(), draftLimit), draftLimit)
+			go c.requestQuick(path)
 		}
 	}
 }
 
+func (c *callers) requestQuick(path string) {
+	id, address := newAttempt(), c.address()
+	c.world.note("a caller sends %s POST %s to %s", id, path, address)
+	got := exchange(address, request("POST", path, id, draftLimit), draftLimit)
+	c.world.note("%s is answered %d, error %v", id, got.status, got.err)
+}
+
 // requestDrafts opens connections, requests one draft on each at times around lateFrom, and reads the answers.
 func requestDrafts(address, path string, began time.Time) (drafts []*draft) {
 	var conns []net.Conn
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -57,12 +57,19 @@
 	_ = os.RemoveAll(w.dir)
 }
 
-// closeOnSignal ends what the case has started if the case is ended.
-func (w *world) closeOnSignal() {
+// longestCase bounds the time that a case takes; it is longer than any case needs.
+const longestCase = 110 * time.Second
+
+// closeEarly ends what the case has started if the case is ended by a signal or takes too long.
+func (w *world) closeEarly() {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
+		select {
+		case <-signals:
+		case <-time.After(longestCase):
+		}
+		w.note("the case was ended early")
 		w.close()
 		os.Exit(exitNotPlayed)
 	}()
@@ -91,10 +98,16 @@
 	portCount = 12000
 )
 
-// freePort returns a port that is free for TCP and UDP on the loopback address.
+// givenPorts holds the ports that freePort has returned.
+var givenPorts = make(map[int]bool)
+
+// freePort returns a port that is free for TCP and UDP on the loopback address, a new one each time.
 func freePort() (int, error) {
 	for range 200 {
 		port := firstPort + rand.IntN(portCount)
+		if givenPorts[port] {
+			continue
+		}
 		tcp, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)) //nolint:noctx // closed at once
 		if err != nil {
 			continue
@@ -103,6 +116,7 @@
 		_ = tcp.Close()
 		if err == nil {
 			_ = udp.Close()
+			givenPorts[port] = true
 			return port, nil
 		}
 	}
