--- a/review/rig2/bystander.go
+++ b/review/rig2/bystander.go
@@ -17,10 +17,10 @@
 	deskDown    = 2 * time.Second
 	deskSettled = 5 * time.Second
 	// deskLength is how long requests are sent, and deskCrashAt when the runners crash.
-	deskLength  = 38 * time.Second
+	deskLength  = 26 * time.Second
 	deskCrashAt = 3 * time.Second
 	// lookupInterval and orderInterval are the intervals between two requests on the later and on the first route.
-	lookupInterval = 4 * time.Millisecond
+	lookupInterval = 16 * time.Millisecond
 	orderInterval  = 20 * time.Millisecond
 	// minLater is the number of requests on the later route from which the rule applies, and laterDivisor the part of the
 	// first routes' share that it must reach.
@@ -65,11 +65,11 @@
 	return w.judgeDesk(lookups, orders, crashed.Add(deskDown+deskSettled)), nil
 }
 
-// serveDesk answers after about as long as the site's order desk works.
+// serveDesk answers after no longer than the site's order desk works at most.
 func (w *world) serveDesk(r *runner) func(http.ResponseWriter, *http.Request) {
 	return func(rw http.ResponseWriter, request *http.Request) {
 		w.noteRun(request.Header.Get(w.names.Attempt), r)
-		time.Sleep(time.Duration(30+rand.IntN(90)) * time.Millisecond)
+		time.Sleep(time.Duration(200+rand.IntN(250)) * time.Millisecond)
 		rw.Header()[w.names.Signature] = []string{"sig"}
 		_, _ = fmt.Fprintf(rw, "done by %s", r.id) // the caller may have left
 	}
@@ -124,11 +124,11 @@
 		return &all
 	}
 	looked := start(lookupInterval, func(n int) bool {
-		return w.send(client, w.machines[n%2], http.MethodGet, "/stock/2f", newAttempt(), nil) == http.StatusOK
+		return w.send(client, w.machines[n%len(w.machines)], http.MethodGet, "/stock/2f", newAttempt(), nil) == http.StatusOK
 	})
 	ordered := start(orderInterval, func(n int) bool {
 		body := []byte(newAttempt() + strings.Repeat("x", 600))
-		return w.send(client, w.machines[n%2], http.MethodPost, "/orders/2f", newAttempt(), body) == http.StatusOK
+		return w.send(client, w.machines[n%len(w.machines)], http.MethodPost, "/orders/2f", newAttempt(), body) == http.StatusOK
 	})
 	open.Wait()
 	return *looked, *ordered
--- a/review/rig2/lostorigins.go
+++ b/review/rig2/lostorigins.go
@@ -15,6 +15,8 @@
 	originRestart  = 500 * time.Millisecond
 	// originRunners is the number of runners, half of them of each version.
 	originRunners = 8
+	// originPause is the pause between two events of a stream.
+	originPause = 100 * time.Millisecond
 	// minResumed is the number of streams from which the rule applies.
 	minResumed = 12
 )
@@ -23,7 +25,7 @@
 func lostOrigins(w *world, trouble bool) (verdict, error) {
 	for i := range originRunners {
 		r := &runner{names: w.names, store: w.store, id: fmt.Sprintf("i-%d", i), service: "kit", zone: "gp-a", slots: 48, version: fmt.Sprintf("v%d", 1+i%2)}
-		r.handle = serveStream(w, r)
+		r.handle = serveStream(w, r, originPause)
 		if err := startRunner(r); err != nil {
 			return verdict{}, err
 		}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(w *world, trouble bool) (verdict, error){
 	"stale-hop":    staleHop,
 	"lost-origins": lostOrigins,
+	"reborn":       reborn,
 	"bystander":    bystander,
 }
 
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,6 +29,8 @@
 	// version is that of the software.
 	version string
 	slots   int
+	// address is where it listens; empty selects a free port.
+	address string
 	// handle answers a request that is meant for this runner.
 	handle func(w http.ResponseWriter, r *http.Request)
 
@@ -42,7 +45,8 @@
 
 // startRunner starts a runner that registers in the store.
 func startRunner(r *runner) error {
-	listener, err := listen("127.0.0.1:0")
+	address := cmp.Or(r.address, "127.0.0.1:0")
+	listener, err := listen(address)
 	if err != nil {
 		return err
 	}
@@ -111,6 +115,10 @@
 		w.WriteHeader(http.StatusOK)
 		return
 	}
+	if request.URL.Path == reportPath {
+		r.report(w)
+		return
+	}
 	header[r.names.Attempt] = request.Header[http.CanonicalHeaderKey(r.names.Attempt)]
 	if target := request.Header.Get(r.names.Target); target != "" && target != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -120,3 +128,10 @@
 	defer r.running.Add(-1)
 	r.handle(w, request)
 }
+
+// report tells what the runner says of itself.
+func (r *runner) report(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"stage":"mixed","models":[],"busy":false,"seq":0,"waiting":0,"running":%d,"kv_used":0,"kv_total":359543,"handles":0,"born":%d}`,
+		r.running.Load(), r.born) // the caller may have left
+}
--- a/review/rig2/stalehop.go
+++ b/review/rig2/stalehop.go
@@ -19,7 +19,7 @@
 	// downgradeSlack is downgrade_slack_ms of the settings.
 	downgradeSlack = 250 * time.Millisecond
 	// staleRate is the interval between two requests.
-	staleRate = 10 * time.Millisecond
+	staleRate = 5 * time.Millisecond
 )
 
 // staleSend is one request of a client.
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -34,6 +34,8 @@
 	items    map[string]item
 	events   []item
 	revision int64
+	// down is set while the store takes calls and answers none.
+	down bool
 }
 
 func newStore(n names) *store { return &store{names: n, items: make(map[string]item), revision: 1} }
@@ -46,6 +48,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return time.Time{}, nil // the call is not answered, and its caller makes it again
+	}
 	s.revision++
 	written := item{Key: key, Value: data, Revision: s.revision, Created: s.revision}
 	if before, ok := s.items[key]; ok {
@@ -82,20 +87,40 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header()[s.names.Era] = []string{"0"}
 	query := r.URL.Query()
-	switch r.URL.Path {
-	case s.names.Range:
-		answerCall(w, s.page(query.Get("prefix"), query.Get("after")))
-	case s.names.Watch:
+	switch {
+	case s.isDown():
+		<-r.Context().Done()
+	case r.URL.Path == s.names.Range:
+		s.answer(w, r, s.page(query.Get("prefix"), query.Get("after")))
+	case r.URL.Path == s.names.Watch:
 		s.watch(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
-func answerCall(w http.ResponseWriter, answer any) {
+// answer answers a call, unless the store has gone down meanwhile.
+func (s *store) answer(w http.ResponseWriter, r *http.Request, answer any) {
+	if s.isDown() {
+		<-r.Context().Done()
+		return
+	}
 	_ = json.NewEncoder(w).Encode(answer) // the caller may have left
 }
 
+// setDown takes the store down, silently, or lets it come back with all that it has acknowledged.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 func (s *store) watch(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
@@ -104,7 +129,7 @@
 	for {
 		found, revision := s.changes(query.Get("prefix"), after)
 		if len(found) > 0 || !time.Now().Before(until) || r.Context().Err() != nil {
-			answerCall(w, map[string]any{"events": found, "current_rev": revision})
+			s.answer(w, r, map[string]any{"events": found, "current_rev": revision})
 			return
 		}
 		time.Sleep(pollInterval)
--- a/review/rig2/streams.go
+++ b/review/rig2/streams.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	streamEvents   = 24
-	streamInterval = 100 * time.Millisecond
-	streamLimit    = 8 * time.Second
+	streamEvents = 24
+	streamLimit  = 8 * time.Second
 	// streamTries bounds the resumptions of one stream.
 	streamTries = 3
 	// resolveTimeout is how long a client waits for the directory of a machine.
@@ -26,7 +25,7 @@
 )
 
 // serveStream answers a request with a stream, which goes on after the last event that the client has.
-func serveStream(w *world, r *runner) func(http.ResponseWriter, *http.Request) {
+func serveStream(w *world, r *runner, interval time.Duration) func(http.ResponseWriter, *http.Request) {
 	return func(rw http.ResponseWriter, request *http.Request) {
 		w.noteRun(request.Header.Get(w.names.Attempt), r)
 		header := rw.Header()
@@ -35,7 +34,7 @@
 		last, _ := strconv.Atoi(request.Header.Get(w.names.LastEvent))
 		for id := last + 1; id <= streamEvents; id++ {
 			if id > 1 {
-				time.Sleep(streamInterval)
+				time.Sleep(interval)
 			}
 			_, err := fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s\n\n", id, id, r.version)
 			if err != nil || request.Context().Err() != nil || http.NewResponseController(rw).Flush() != nil {
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -21,6 +21,7 @@
 
 const (
 	healthPath = "/healthz"
+	reportPath = "/report"
 	host       = "h.example"
 	// startWait is the time between the start of the machines and that of the traffic.
 	startWait = 10 * time.Second
