--- a/review/rig2/stalehop.go
+++ b/review/rig2/stalehop.go
@@ -15,7 +15,7 @@
 	staleVersions = 9
 	staleInterval = 5 * time.Second
 	// staleNear is the number of machines in the region that serves the route.
-	staleNear = 7
+	staleNear = 9
 	// downgradeSlack is downgrade_slack_ms of the settings.
 	downgradeSlack = 250 * time.Millisecond
 	// staleRate is the interval between two requests.
