--- a/review/rig2/reborn.go
+++ b/review/rig2/reborn.go
@@ -13,11 +13,12 @@
 	rebornPause    = 250 * time.Millisecond
 	rebornInterval = 33 * time.Millisecond
 	// storeDown is how long the store is down. One runner crashes at firstCrash after that and is back at firstBack, under
-	// its id and with newer software; another one crashes at secondCrash.
+	// its id and with newer software; another one crashes at secondCrash, and one with a new id starts at secondBack.
 	storeDown   = 8 * time.Second
 	firstCrash  = 500 * time.Millisecond
 	firstBack   = 2500 * time.Millisecond
 	secondCrash = 5 * time.Second
+	secondBack  = 7 * time.Second
 	// maxMixed is the number of streams of two versions that the rule allows.
 	maxMixed = 2
 )
@@ -56,7 +57,8 @@
 			w.note("crash     %s", runners[0].id)
 			runners[0].crash()
 		})
-		time.AfterFunc(firstBack, func() { w.startNewer(runners[0]) })
+		time.AfterFunc(firstBack, func() { w.startNewer(runners[0], runners[0].id, runners[0].listener.Addr().String()) })
+		time.AfterFunc(secondBack, func() { w.startNewer(runners[1], runners[1].id+"-new", "") })
 		time.AfterFunc(secondCrash, func() {
 			w.note("crash     %s", runners[1].id)
 			runners[1].crash()
@@ -65,11 +67,10 @@
 	return w.judgeVersions(ended()), nil
 }
 
-// startNewer starts a runner again under its id and at its address, with newer software.
-func (w *world) startNewer(before *runner) {
+// startNewer starts a runner in place of one that has crashed, with newer software.
+func (w *world) startNewer(before *runner, id, address string) {
 	again := &runner{
-		names: w.names, store: w.store, id: before.id, service: before.service, zone: before.zone, slots: before.slots, version: "v2",
-		address: before.listener.Addr().String(),
+		names: w.names, store: w.store, id: id, service: before.service, zone: before.zone, slots: before.slots, version: "v2", address: address,
 	}
 	again.handle = serveStream(w, again, rebornPause)
 	if err := startRunner(again); err != nil {
