--- a/review/rig2/stalehop.go
+++ b/review/rig2/stalehop.go
@@ -12,10 +12,10 @@
 const (
 	// staleVersions is the number of desired states, each of which moves the route to another service, and staleInterval
 	// the time between two of them.
-	staleVersions = 9
-	staleInterval = 5 * time.Second
+	staleVersions = 11
+	staleInterval = 4370 * time.Millisecond
 	// staleNear is the number of machines in the region that serves the route.
-	staleNear = 9
+	staleNear = 4
 	// downgradeSlack is downgrade_slack_ms of the settings.
 	downgradeSlack = 250 * time.Millisecond
 	// staleRate is the interval between two requests.
